--- a/src/bin/notchhaven-drill.rs
+++ b/src/bin/spindlebeam-wirehost.rs
@@ -1,7 +1,7 @@
 //! Runs many instances of the module on the thistle-28dc wire, from standard input to standard output.
 
-use notchhaven::decide::Router;
-use notchhaven::wire::{Instance, Reply, WireError, WireEvent, decode, read_frame};
+use spindlebeam::decide::Router;
+use spindlebeam::wire::{Instance, Reply, WireError, WireEvent, decode, read_frame};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Write};
 use std::process::ExitCode;
@@ -10,7 +10,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("notchhaven-drill: {error}");
+            eprintln!("spindlebeam-wirehost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 //! carries out the [`api::Action`]s it gets back.
 //!
 //! ```
-//! use notchhaven::api::*;
-//! use notchhaven::decide::Router;
+//! use spindlebeam::api::*;
+//! use spindlebeam::decide::Router;
 //!
 //! let class = Class {
 //!     aim_us: 500_000,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A hand-driven router: tests feed events and look at the actions.
 #![allow(dead_code)]
 
-use notchhaven::api::*;
-use notchhaven::decide::Router;
+use spindlebeam::api::*;
+use spindlebeam::decide::Router;
 
 pub const ORIGIN: u64 = 999;
 pub const MS: Micros = 1_000;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The thistle-28dc codec, the settings text, and the adapter as a process.
 
-use notchhaven::api::*;
-use notchhaven::wire::*;
+use spindlebeam::api::*;
+use spindlebeam::wire::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -200,7 +200,7 @@
 
 /// Runs the adapter on this input.
 fn drill(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_notchhaven-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_spindlebeam-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
