--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,165 @@
+//! The configuration: the platform's JSON, read once, and the settings flattened to the module's paths.
+
+use crate::api::Settings;
+use crate::proto::discovery::List;
+use anyhow::{Context, Result, ensure};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Descriptors kept back for the listener, discovery, the logs and the runtime.
+const RESERVED_SOCKETS: usize = 64;
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    known: Option<List>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+/// What the program is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// The balancer's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery's agent.
+    pub discovery: SocketAddr,
+    /// Seed of the module's random numbers.
+    pub seed: u64,
+    /// The list as held before the start; it may be old.
+    pub known: Option<List>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names that the settings give to numbers.
+    pub names: Names,
+    /// Limits and times of connections.
+    pub bounds: Bounds,
+}
+
+/// Names, each at the place that is its number in the module.
+#[derive(Debug, Clone, Default)]
+pub struct Names {
+    /// Classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+}
+
+/// Limits and times of connections.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Client connections held at a time.
+    pub clients: usize,
+    /// Connections to peers and the origin held at a time, idle ones included.
+    pub peers: usize,
+    /// Bytes of requests' values held at a time.
+    pub held_bytes: usize,
+    /// Requests held open at a time.
+    pub open: usize,
+    /// How long a dial may take.
+    pub dial: Duration,
+    /// How long a connection to a peer is kept idle.
+    pub idle: Duration,
+    /// The longest time that any client waits.
+    pub longest: Duration,
+}
+
+/// Appends `path=value` lines, as the module's settings parser reads them.
+fn flatten(path: &str, value: &Value, out: &mut String) {
+    let mut line = |text: &str| {
+        out.push_str(path);
+        out.push('=');
+        out.extend(text.chars().map(|c| if c == ' ' || c == '\n' { '_' } else { c }));
+        out.push('\n');
+    };
+    let at = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(&at(name), v, out)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            flatten(&at("count"), &items.len().into(), out);
+            items.iter().enumerate().for_each(|(i, v)| flatten(&at(&i.to_string()), v, out));
+        }
+        Value::Array(items) => {
+            let plain = |v: &Value| text(v).replace([' ', ','], "_");
+            line(&items.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+        plain => line(&text(plain)),
+    }
+}
+
+/// A plain value as text. A whole number bears no fraction, so that it reads as either kind of number.
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Number(n) if n.is_f64() => n.as_f64().map_or_else(String::new, |x| x.to_string()),
+        other => other.to_string(),
+    }
+}
+
+fn strings(list: &Value, field: Option<&str>) -> Vec<String> {
+    let items = list.as_array().map(Vec::as_slice).unwrap_or_default();
+    items.iter().map(|item| text(field.map_or(item, |f| &item[f]))).collect()
+}
+
+impl Config {
+    /// Reads the configuration.
+    ///
+    /// # Errors
+    /// When it cannot be used; the error says why.
+    pub fn parse(json: &[u8]) -> Result<Self> {
+        let file: File = serde_json::from_slice(json).context("not in the form of a configuration")?;
+        let mut facts = String::new();
+        flatten("", &file.settings, &mut facts);
+        let settings: Settings = facts.parse()?;
+        ensure!(!settings.classes.is_empty(), "the settings name no classes");
+        let seed = u64::from_str_radix(&file.seed, 16).context("the seed is not hexadecimal")?;
+        let usable = file.limits.sockets.saturating_sub(RESERVED_SOCKETS);
+        ensure!(usable >= 64, "{} sockets are too few", file.limits.sockets);
+        let micros = |name: &str, default: u64| {
+            Duration::from_micros(file.settings["permissions"][name].as_u64().unwrap_or(default))
+        };
+        let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or_default();
+        let open = file.settings["permissions"]["maxOpen"].as_u64().unwrap_or(20_000);
+        Ok(Self {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            seed,
+            known: file.known,
+            names: Names {
+                classes: strings(&file.settings["profiles"], Some("name")),
+                tenants: strings(&file.settings["tenants"], Some("name")),
+                zones: strings(&file.settings["dcs"], None),
+                kinds: strings(&file.settings["hostTypes"], None),
+            },
+            bounds: Bounds {
+                clients: usable / 2,
+                peers: usable - usable / 2,
+                held_bytes: file.limits.memory_mb.saturating_mul(1 << 20) / 6,
+                open: usize::try_from(open).unwrap_or(usize::MAX),
+                dial: micros("dialTimeoutUs", 100_000),
+                // A margin below the peers' own limit: a request written after it ends as a reset.
+                idle: micros("connIdleUs", 10_000_000).mul_f64(0.85),
+                longest: Duration::from_micros(longest),
+            },
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,371 @@
+//! The core: request contexts, the clock, timers, and the carrying out of the module's actions.
+//!
+//! It knows no front and no socket of a client: a front submits a request and is given a [`Ticket`].
+
+use crate::api::{
+    Action, ClassId, Event, Key, Micros, Outcome, Request, RequestId, ServerId, TenantId, Token,
+};
+use crate::call::{Answer, Call};
+use crate::config::{Bounds, Config};
+use crate::decide::Router;
+use crate::peer::{Ended, Pools, Try};
+use crate::proto::discovery::List;
+use crate::upstream_group::{Peer, UpstreamGroup};
+use rustc_hash::FxHashMap;
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, interval, sleep};
+use tokio_util::time::DelayQueue;
+
+/// How long after its deadline a request that the module left without an answer is failed.
+const OVERDUE: Duration = Duration::from_millis(10);
+/// How long a start waits for discovery's first list before it makes do with the one it knew.
+const FIRST_LIST: Duration = Duration::from_secs(1);
+
+/// A request, as a front hands it over.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// What it is about.
+    pub key: Option<Key>,
+    /// How long its client will wait from now on.
+    pub time_left: Duration,
+    /// What is passed on.
+    pub call: Call,
+}
+
+enum Input {
+    Arrived(RequestId, Incoming, oneshot::Sender<Answer>),
+    Left(RequestId),
+    TryEnded { id: RequestId, attempt: u16, peer: Rc<Peer>, sent: Instant, ended: Ended },
+    Told(List),
+}
+
+/// Submits requests to the core, which owes each exactly one final answer.
+#[derive(Clone)]
+pub struct Handle {
+    inputs: mpsc::UnboundedSender<Input>,
+    next: Rc<Cell<u64>>,
+    ready: Rc<Cell<bool>>,
+}
+
+impl Handle {
+    /// Hands a request over.
+    #[must_use]
+    pub fn submit(&self, incoming: Incoming) -> Ticket {
+        let id = RequestId(self.next.replace(self.next.get() + 1));
+        let (sender, answer) = oneshot::channel();
+        // If the core is gone, the sender is dropped with the input and the ticket tells a failure.
+        let _ = self.inputs.send(Input::Arrived(id, incoming, sender));
+        Ticket { id, answer, inputs: self.inputs.clone(), answered: false }
+    }
+
+    /// Tells the core what discovery has told.
+    pub fn told(&self, list: List) {
+        let _ = self.inputs.send(Input::Told(list));
+    }
+
+    /// Whether the core knows whom it may send to.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.ready.get()
+    }
+}
+
+/// A claim to one final answer. Dropping it unanswered tells the core that the client has left.
+pub struct Ticket {
+    id: RequestId,
+    answer: oneshot::Receiver<Answer>,
+    inputs: mpsc::UnboundedSender<Input>,
+    answered: bool,
+}
+
+impl Future for Ticket {
+    type Output = Answer;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
+        let answer = Pin::new(&mut self.answer).poll(cx).map(|got| got.unwrap_or(Answer::Failed));
+        self.answered |= answer.is_ready();
+        answer
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.answered {
+            let _ = self.inputs.send(Input::Left(self.id));
+        }
+    }
+}
+
+/// What the core holds of a request until it is answered and none of its tries is out.
+struct RequestContext {
+    call: Rc<Call>,
+    held: usize,
+    deadline: Instant,
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: u16,
+    out: Vec<(u16, oneshot::Sender<()>)>,
+}
+
+enum Due {
+    Module(Token),
+    Overdue(RequestId),
+}
+
+/// The core, owner of the module.
+pub struct Engine {
+    router: Router,
+    handle: Handle,
+    inputs: mpsc::UnboundedReceiver<Input>,
+    started: (Micros, Instant),
+    contexts: FxHashMap<RequestId, RequestContext>,
+    held_bytes: usize,
+    timers: DelayQueue<Due>,
+    group: UpstreamGroup,
+    pools: Pools,
+    bounds: Bounds,
+    events: VecDeque<Event>,
+}
+
+impl Engine {
+    /// The core, and the handle for its fronts. The list known from before goes in as a cached one.
+    #[must_use]
+    pub fn new(config: &Config) -> (Self, Handle) {
+        let (sender, inputs) = mpsc::unbounded_channel();
+        let handle = Handle { inputs: sender, next: Rc::default(), ready: Rc::default() };
+        // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
+        let mut engine = Self {
+            router: Router::new(config.settings.clone(), config.seed, unix),
+            handle: handle.clone(),
+            inputs,
+            started: (unix, Instant::now()),
+            contexts: FxHashMap::default(),
+            held_bytes: 0,
+            timers: DelayQueue::new(),
+            group: UpstreamGroup::new(config.names.clone(), config.settings.origin_kind),
+            pools: Pools::new(config.bounds),
+            bounds: config.bounds,
+            events: VecDeque::new(),
+        };
+        if let Some(known) = &config.known {
+            engine.told(known, true);
+            engine.settle();
+        }
+        (engine, handle)
+    }
+
+    /// Runs for as long as the program does.
+    pub async fn run(mut self) {
+        let mut sweep = interval(Duration::from_secs(1));
+        let mut report = interval(Duration::from_secs(10));
+        let first_list = sleep(FIRST_LIST);
+        tokio::pin!(first_list);
+        loop {
+            tokio::select! {
+                Some(input) = self.inputs.recv() => self.take(input),
+                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
+                    match due.into_inner() {
+                        Due::Module(token) => self.events.push_back(Event::Timer(token)),
+                        Due::Overdue(id) => self.overdue(id),
+                    }
+                }
+                _ = sweep.tick() => self.pools.sweep(),
+                _ = report.tick() => {
+                    let (open, dialled, reused) = self.pools.counts();
+                    let requests = self.contexts.len();
+                    log::info!("{requests} requests open; peers: {open} open, {dialled} dialled, {reused} reused");
+                }
+                () = &mut first_list, if !self.handle.ready() => {
+                    log::warn!("discovery: silent; starting with the list known before");
+                    self.handle.ready.set(true);
+                }
+            }
+            self.settle();
+        }
+    }
+
+    fn now(&self) -> Micros {
+        self.started.0 + self.started.1.elapsed().as_micros() as Micros
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Arrived(id, incoming, answer) => self.arrived(id, incoming, answer),
+            Input::Left(id) => {
+                if self.contexts.get_mut(&id).is_some_and(|context| context.answer.take().is_some()) {
+                    self.events.push_back(Event::Expired(id));
+                    self.forget(id);
+                }
+            }
+            Input::TryEnded { id, attempt, peer, sent, ended } => {
+                self.try_ended(id, attempt, &peer, sent, ended)
+            }
+            Input::Told(list) => {
+                self.told(&list, false);
+                self.handle.ready.set(true);
+            }
+        }
+    }
+
+    fn told(&mut self, list: &List, cached: bool) {
+        let (kind, entries, stale) = self.group.apply(list, cached);
+        stale.into_iter().for_each(|id| self.pools.close_idle(id));
+        self.events.push_back(Event::Servers(kind, entries));
+    }
+
+    fn arrived(&mut self, id: RequestId, incoming: Incoming, answer: oneshot::Sender<Answer>) {
+        let held = incoming.call.value.as_ref().map_or(0, |v| v.len());
+        if self.contexts.len() >= self.bounds.open || self.held_bytes + held > self.bounds.held_bytes {
+            // Guards memory: turned away before the module hears of it.
+            let _ = answer.send(Answer::Refused(0));
+            return;
+        }
+        self.held_bytes += held;
+        let request = Request {
+            id,
+            class: incoming.class,
+            tenant: incoming.tenant,
+            key: incoming.key,
+            write: incoming.call.value.is_some(),
+            time_left_us: incoming.time_left.as_micros() as Micros,
+        };
+        let context = RequestContext {
+            call: Rc::new(incoming.call),
+            held,
+            deadline: Instant::now() + incoming.time_left,
+            answer: Some(answer),
+            attempts: 0,
+            out: Vec::new(),
+        };
+        self.timers.insert(Due::Overdue(id), incoming.time_left + OVERDUE);
+        self.contexts.insert(id, context);
+        self.events.push_back(Event::Request(request));
+    }
+
+    fn try_ended(&mut self, id: RequestId, attempt: u16, peer: &Peer, sent: Instant, ended: Ended) {
+        if let Some(connection) = ended.connection.filter(|_| peer.ready()) {
+            self.pools.put(peer, connection);
+        }
+        // A cancelled try outlives its request; the module still counts it as in flight until told.
+        if let Some(context) = self.contexts.get_mut(&id) {
+            context.out.retain(|(n, _)| *n != attempt);
+        }
+        if ended.outcome == Outcome::Ok {
+            self.answer(id, Answer::Served(ended.value));
+        }
+        let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
+        self.events.push_back(Event::Outcome {
+            id,
+            attempt,
+            outcome: ended.outcome,
+            latency_us: sent.elapsed().as_micros() as Micros,
+            finished,
+            fetch_pending: ended.pending,
+        });
+        self.forget(id);
+    }
+
+    /// Guards the rule that none is lost against a request that the module forgot: found by nothing so far.
+    fn overdue(&mut self, id: RequestId) {
+        if self.contexts.get(&id).is_some_and(|context| context.answer.is_some()) {
+            log::error!("request {} had no answer at its deadline", id.0);
+            self.answer(id, Answer::Failed);
+            self.events.push_back(Event::Expired(id));
+            self.forget(id);
+        }
+    }
+
+    /// Gives the final answer, if it is still owed.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(sender) = self.contexts.get_mut(&id).and_then(|context| context.answer.take()) {
+            let _ = sender.send(answer); // a client that has just left is told by its ticket
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        let done = |context: &RequestContext| context.answer.is_none() && context.out.is_empty();
+        if self.contexts.get(&id).is_some_and(done) {
+            self.held_bytes -= self.contexts.remove(&id).map_or(0, |context| context.held);
+        }
+    }
+
+    /// Hands the module what has happened and carries out what it decides, until nothing is left to tell.
+    fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.router.handle(self.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout_us } => self.send(id, server, timeout_us),
+            Action::Refuse { id, hold_off_us } => {
+                self.answer(id, Answer::Refused(hold_off_us.div_ceil(1_000)));
+                self.forget(id);
+            }
+            Action::Fail(id) => {
+                self.answer(id, Answer::Failed);
+                self.forget(id);
+            }
+            Action::Cancel { id, attempt } => {
+                let context = self.contexts.get_mut(&id);
+                let cancel = context.and_then(|c| {
+                    c.out.iter().position(|(n, _)| *n == attempt).map(|at| c.out.swap_remove(at))
+                });
+                if let Some((_, cancel)) = cancel {
+                    let _ = cancel.send(()); // its try closes its connection, then reports
+                }
+            }
+            Action::Timer { delay_us, token } => {
+                self.timers.insert(Due::Module(token), Duration::from_micros(delay_us));
+            }
+            Action::CloseIdle(server) => self.pools.close_idle(server),
+            Action::Watch => {} // the watch is always on
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, timeout_us: Micros) {
+        let Some(context) = self.contexts.get_mut(&id) else { return };
+        let attempt = context.attempts;
+        context.attempts += 1;
+        let sent = Instant::now();
+        let peer = self.group.peer(server).filter(|peer| peer.ready() && context.answer.is_some());
+        let Some(peer) = peer.cloned() else {
+            // The list and the module disagree for a moment: never sent, so it may go elsewhere.
+            let outcome = Outcome::Full;
+            let finished = context.answer.is_none();
+            let event =
+                Event::Outcome { id, attempt, outcome, latency_us: 0, finished, fetch_pending: false };
+            return self.events.push_back(event);
+        };
+        let until = match timeout_us {
+            0 => context.deadline,
+            us => context.deadline.min(sent + Duration::from_micros(us)),
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        context.out.push((attempt, cancel));
+        let call = context.call.clone();
+        let line = self.pools.line(&peer);
+        let this = Try { peer: peer.clone(), call, line, dial: self.bounds.dial, until };
+        let inputs = self.handle.inputs.clone();
+        tokio::task::spawn_local(async move {
+            let ended = this.run(cancelled).await;
+            let _ = inputs.send(Input::TryEnded { id, attempt, peer, sent, ended });
+        });
+    }
+}
--- /dev/null
+++ b/src/front/request.rs
@@ -0,0 +1,99 @@
+//! From a client's command to a request, or to an answer of the front's own.
+
+use crate::api::{ClassId, Key, TenantId};
+use crate::call::Call;
+use crate::config::Names;
+use crate::engine::Incoming;
+use crate::proto::resp::Command;
+use bytes::Bytes;
+use std::time::Duration;
+
+/// Longest time that a client's request may name; more is cut to it.
+const LONGEST_MS: f64 = 600_000.0;
+
+/// What a command asks of the balancer.
+#[derive(Debug)]
+pub enum Asked {
+    /// A request for the core.
+    Request(Incoming),
+    /// `PING`.
+    Ping,
+    /// Answered with a status.
+    Ok,
+    /// Answered with a status, then the connection ends.
+    Quit,
+    /// Answered with this error; the connection goes on.
+    Refused(&'static str),
+}
+
+/// Reads a command.
+#[must_use]
+pub fn read(command: &Command, names: &Names) -> Asked {
+    let word = command.0[0].to_ascii_uppercase();
+    match &word[..] {
+        b"CACHE.GET" | b"CACHE.SET" => match request(command, word == b"CACHE.SET", names) {
+            Ok(incoming) => Asked::Request(incoming),
+            Err(why) => Asked::Refused(why),
+        },
+        b"PING" => Asked::Ping,
+        b"CLIENT" | b"SELECT" => Asked::Ok,
+        b"QUIT" => Asked::Quit,
+        _ => Asked::Refused("unknown command"),
+    }
+}
+
+/// One printable word: it goes into header lines to the origin, where a line end would forge a header.
+fn is_word(text: &[u8]) -> bool {
+    !text.is_empty() && text.iter().all(u8::is_ascii_graphic)
+}
+
+fn request(command: &Command, write: bool, names: &Names) -> Result<Incoming, &'static str> {
+    let words = &command.0;
+    if words.len() != if write { 5 } else { 4 } {
+        return Err("wrong number of arguments");
+    }
+    let (key, id, options) = (&words[1], &words[2], &words[3]);
+    let hex = std::str::from_utf8(key).ok().filter(|_| key.iter().all(u8::is_ascii_hexdigit));
+    let number = hex.and_then(|text| u64::from_str_radix(text, 16).ok()).ok_or("bad key")?;
+    if !is_word(id) || !is_word(options) {
+        return Err("bad id or options");
+    }
+    let (mut class, mut tenant, mut time) = (None, TenantId(0), None);
+    for option in options.split(|b| *b == b',') {
+        let at = option.iter().position(|b| *b == b'=').ok_or("bad options")?;
+        let (name, value) = (&option[..at], &option[at + 1..]);
+        let text = std::str::from_utf8(value).map_err(|_| "bad options")?;
+        let place = |list: &[String]| list.iter().position(|item| item == text);
+        match name {
+            b"c" => {
+                let place = place(&names.classes).and_then(|at| u8::try_from(at).ok());
+                class = Some(ClassId(place.ok_or("unknown class")?));
+            }
+            b"t" => tenant = TenantId(place(&names.tenants).ok_or("unknown tenant")? as u32),
+            b"d" => {
+                let ms =
+                    text.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0).ok_or("bad time")?;
+                let value = options.slice_ref(value);
+                let start = value.as_ptr() as usize - options.as_ptr() as usize;
+                time = Some((ms.min(LONGEST_MS), start..start + value.len()));
+            }
+            b"k" | b"r" | b"size" | b"hint" => {}
+            _ => return Err("unknown option"),
+        }
+    }
+    let (ms, time_at) = time.ok_or("no time")?;
+    Ok(Incoming {
+        class: class.ok_or("no class")?,
+        tenant,
+        key: Some(Key(number)),
+        time_left: Duration::from_secs_f64(ms / 1e3),
+        call: Call {
+            command: words[0].clone(),
+            key: key.clone(),
+            id: id.clone(),
+            options: options.clone(),
+            time_at,
+            value: words.get(4).map(Bytes::clone),
+        },
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,7 +57,15 @@
 //! ```
 
 pub mod api;
+pub mod call;
+pub mod config;
 pub mod decide;
+pub mod engine;
+pub mod front;
+pub mod peer;
+pub mod proto;
+pub mod serve;
 pub mod settings;
 mod state;
+pub mod upstream_group;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,64 @@
-//! The balancer on real sockets.
+//! The command line.
 
-fn main() -> std::process::ExitCode {
-    eprintln!("spindlebeam: serve is not built yet");
-    std::process::ExitCode::FAILURE
+use anyhow::{Context, Result, bail};
+use pico_args::Arguments;
+use spindlebeam::config::Config;
+use spindlebeam::serve;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+spindlebeam: a balancer in front of cache nodes and their origin
+
+usage: spindlebeam COMMAND
+
+  serve          run the balancer until SIGTERM
+  check-config   read the configuration and say whether it can be used
+  version        print the version
+  help           print this
+
+  --config FILE  the configuration of serve and check-config; $PROXY_CONFIG if not given
+
+The log goes to standard error; RUST_LOG sets its level (info if not set).";
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("spindlebeam: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let mut args = Arguments::from_env();
+    let help = args.contains(["-h", "--help"]);
+    let command = args.subcommand()?;
+    let file: Option<PathBuf> = args.opt_value_from_str("--config")?;
+    if let Some(word) = args.finish().first() {
+        bail!("unknown argument {word:?}; try `spindlebeam help`");
+    }
+    match command.as_deref() {
+        _ if help => println!("{HELP}"),
+        Some("help") => println!("{HELP}"),
+        Some("version") => println!("spindlebeam {}", env!("CARGO_PKG_VERSION")),
+        Some("serve") => serve::serve(configuration(file)?)?,
+        Some("check-config") => {
+            let config = configuration(file)?;
+            let (classes, tenants) = (config.names.classes.len(), config.names.tenants.len());
+            println!("{}: usable; {classes} classes, {tenants} tenants, {:?}", config.name, config.bounds);
+        }
+        Some(other) => bail!("unknown command {other:?}; try `spindlebeam help`"),
+        None => bail!("no command; try `spindlebeam help`"),
+    }
+    Ok(())
+}
+
+fn configuration(file: Option<PathBuf>) -> Result<Config> {
+    let from_env = || std::env::var_os("PROXY_CONFIG").map(PathBuf::from);
+    let file = file.or_else(from_env).context("no configuration: give --config or set PROXY_CONFIG")?;
+    let json = std::fs::read(&file).with_context(|| format!("configuration {}", file.display()))?;
+    Config::parse(&json).with_context(|| format!("configuration {}", file.display()))
 }
--- /dev/null
+++ b/src/peer/exchange.rs
@@ -0,0 +1,205 @@
+//! One try: dial if need be, write the request, read the answer, within its time.
+
+use super::{Connection, Line};
+use crate::api::Outcome;
+use crate::call::Call;
+use crate::proto::http::{self, Whole};
+use crate::proto::{MAX_VALUE, resp};
+use crate::upstream_group::Peer;
+use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// One attempt of a request at one peer.
+#[derive(Debug)]
+pub struct Try {
+    /// Where to.
+    pub peer: Rc<Peer>,
+    /// What is asked.
+    pub call: Rc<Call>,
+    /// On what.
+    pub line: Line,
+    /// How long a dial may take.
+    pub dial: Duration,
+    /// When the balancer stops waiting.
+    pub until: Instant,
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// Its outcome.
+    pub outcome: Outcome,
+    /// What was served.
+    pub value: Bytes,
+    /// On a miss: another fetch of the key is out.
+    pub pending: bool,
+    /// The connection, if it can be used again.
+    pub connection: Option<Connection>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, value: Bytes::new(), pending: false, connection: None }
+    }
+}
+
+impl Try {
+    /// Runs the try. When it returns without its connection, that is already closed: nothing of it is out.
+    pub async fn run(self, cancelled: oneshot::Receiver<()>) -> Ended {
+        let (until, written) = (self.until, Cell::new(false));
+        let ended = tokio::select! {
+            biased;
+            _ = cancelled => Ended::from(Outcome::Cancelled),
+            ended = timeout_at(until, self.exchange(&written)) => ended.unwrap_or(Outcome::Timeout.into()),
+        };
+        match ended.outcome {
+            // Guards writes that never went out whole against counting as perhaps run.
+            Outcome::Timeout if !written.get() => Outcome::ConnectFailed.into(),
+            _ => ended,
+        }
+    }
+
+    async fn exchange(self, written: &Cell<bool>) -> Ended {
+        let Some(mut connection) = open(self.line, &self.peer, self.dial).await else {
+            return Outcome::ConnectFailed.into();
+        };
+        if !self.peer.ready() {
+            return Outcome::Full.into(); // guards drains: it began to drain or went while we dialled
+        }
+        let ms = self.until.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
+        let (head, body) = if self.peer.origin {
+            http_request(&self.call, &self.peer)
+        } else {
+            resp_request(&self.call, ms)
+        };
+        if write(&mut connection.stream, &head, body).await.is_err() {
+            return Outcome::ConnectFailed.into();
+        }
+        written.set(true);
+        let answer = if self.peer.origin {
+            read_http(&mut connection).await
+        } else {
+            read_resp(&mut connection).await
+        };
+        match answer {
+            Ok((ended, keep)) => Ended { connection: keep.then_some(connection), ..ended },
+            Err(Broken::Reset) => Outcome::Reset.into(),
+            Err(Broken::Malformed(error)) => {
+                log::warn!("peer {}: bad answer: {error}", self.peer.name);
+                Outcome::Error.into()
+            }
+        }
+    }
+}
+
+async fn open(line: Line, peer: &Peer, dial: Duration) -> Option<Connection> {
+    let place = match line {
+        Line::Open(connection) => return Some(connection),
+        Line::Dial(place) => place.0,
+        Line::None => {
+            log::warn!("peer {}: no connection to spare", peer.name);
+            return None;
+        }
+    };
+    match timeout(dial, TcpStream::connect(peer.addr)).await {
+        Ok(Ok(stream)) => {
+            stream.set_nodelay(true).ok()?;
+            Some(Connection { stream, buffer: BytesMut::new(), _place: place })
+        }
+        Ok(Err(error)) => {
+            log::debug!("peer {}: dialling: {error}", peer.name);
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+fn resp_request(call: &Call, ms: u64) -> (BytesMut, Bytes) {
+    let (mut head, options) = (BytesMut::with_capacity(256), call.options_with_time(ms));
+    let mut words: Vec<&[u8]> = vec![&call.command, &call.key, &call.id, &options];
+    words.extend(call.value.as_deref());
+    resp::put_command(&mut head, &words);
+    (head, Bytes::new())
+}
+
+fn http_request(call: &Call, peer: &Peer) -> (BytesMut, Bytes) {
+    let (path, host) = ([b"/", &call.key[..]].concat(), peer.addr.to_string());
+    let headers: [(&str, &[u8]); 2] = [("Req-Id", &call.id), ("Req-Extra", &call.options)];
+    match &call.value {
+        None => (http::request("GET", &path, &host, &headers), Bytes::new()),
+        Some(value) => {
+            let length = value.len().to_string();
+            let [id, extra] = headers;
+            let headers = [id, extra, ("Content-Length", length.as_bytes())];
+            (http::request("PUT", &path, &host, &headers), value.clone())
+        }
+    }
+}
+
+async fn write(stream: &mut TcpStream, head: &BytesMut, body: Bytes) -> std::io::Result<()> {
+    let mut message = bytes::Buf::chain(&head[..], body);
+    while bytes::Buf::has_remaining(&message) {
+        stream.write_buf(&mut message).await?;
+    }
+    Ok(())
+}
+
+/// Why there is no answer.
+enum Broken {
+    Reset,
+    Malformed(crate::proto::ProtoError),
+}
+
+impl From<crate::proto::ProtoError> for Broken {
+    fn from(error: crate::proto::ProtoError) -> Self {
+        Self::Malformed(error)
+    }
+}
+
+async fn more(connection: &mut Connection) -> Result<(), Broken> {
+    match connection.stream.read_buf(&mut connection.buffer).await {
+        Ok(n) if n > 0 => Ok(()),
+        _ => Err(Broken::Reset),
+    }
+}
+
+async fn read_resp(connection: &mut Connection) -> Result<(Ended, bool), Broken> {
+    loop {
+        let Some(answer) = resp::next_answer(&mut connection.buffer)? else {
+            more(connection).await?;
+            continue;
+        };
+        let ended = match answer {
+            resp::Answer::Served(value) => Ended { value, ..Outcome::Ok.into() },
+            resp::Answer::Miss { pending } => Ended { pending, ..Outcome::Miss.into() },
+            resp::Answer::Busy => Outcome::Full.into(),
+            resp::Answer::Failed(text) => {
+                log::debug!("a peer failed: {}", String::from_utf8_lossy(&text));
+                Outcome::Error.into()
+            }
+        };
+        return Ok((ended, true));
+    }
+}
+
+async fn read_http(connection: &mut Connection) -> Result<(Ended, bool), Broken> {
+    let mut whole = Whole::new(MAX_VALUE);
+    loop {
+        let Some((head, value)) = whole.next(&mut connection.buffer)? else {
+            more(connection).await?;
+            continue;
+        };
+        let ended = match head.status {
+            200 => Ended { value, ..Outcome::Ok.into() },
+            503 | 504 if head.declined => Outcome::Full.into(),
+            _ => Outcome::Error.into(),
+        };
+        return Ok((ended, head.keep));
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,122 @@
+//! Connections to peers and the origin: the pools, and one try on one connection.
+
+mod exchange;
+
+use crate::api::ServerId;
+use crate::config::Bounds;
+use crate::upstream_group::Peer;
+use bytes::BytesMut;
+pub use exchange::{Ended, Try};
+use rustc_hash::FxHashMap;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// A place among the connections that may be open; given back when dropped.
+#[derive(Debug)]
+struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// An open connection. It carries one try at a time: answers come in order, and a quick one must not wait.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    _place: Place,
+}
+
+impl Connection {
+    /// Whether nothing has come since the last answer, neither an end nor stray bytes.
+    fn quiet(&self) -> bool {
+        let silent =
+            self.stream.try_read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        self.buffer.is_empty() && silent
+    }
+}
+
+/// What a try runs on.
+#[derive(Debug)]
+pub enum Line {
+    /// A connection that was idle.
+    Open(Connection),
+    /// A new one is to be dialled.
+    Dial(DialPlace),
+    /// No connection may be opened.
+    None,
+}
+
+/// Permission to open one connection.
+#[derive(Debug)]
+pub struct DialPlace(Place);
+
+/// The idle connections of every peer, and the count of all.
+#[derive(Debug)]
+pub struct Pools {
+    idle: FxHashMap<ServerId, Vec<(Instant, Connection)>>,
+    open: Rc<Cell<usize>>,
+    bounds: Bounds,
+    dialled: u64,
+    reused: u64,
+}
+
+impl Pools {
+    /// Empty pools.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self { idle: FxHashMap::default(), open: Rc::default(), bounds, dialled: 0, reused: 0 }
+    }
+
+    /// A connection for a try: the one used last, or a new one.
+    pub fn line(&mut self, peer: &Peer) -> Line {
+        let idle = self.idle.entry(peer.id).or_default();
+        while let Some((since, connection)) = idle.pop() {
+            if since.elapsed() < self.bounds.idle && connection.quiet() {
+                self.reused += 1;
+                return Line::Open(connection);
+            }
+        }
+        if self.open.get() >= self.bounds.peers && !self.close_oldest() {
+            return Line::None;
+        }
+        self.open.set(self.open.get() + 1);
+        self.dialled += 1;
+        Line::Dial(DialPlace(Place(self.open.clone())))
+    }
+
+    /// Makes room below the descriptor limit.
+    fn close_oldest(&mut self) -> bool {
+        let oldest = self.idle.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| idle[0].0);
+        oldest.map(|idle| idle.remove(0)).is_some()
+    }
+
+    /// Takes back a connection after a whole answer.
+    pub fn put(&mut self, peer: &Peer, connection: Connection) {
+        self.idle.entry(peer.id).or_default().push((Instant::now(), connection));
+    }
+
+    /// Closes a peer's idle connections.
+    pub fn close_idle(&mut self, id: ServerId) {
+        self.idle.remove(&id);
+    }
+
+    /// Closes connections that were idle too long or that their peer has ended.
+    pub fn sweep(&mut self) {
+        let keep = self.bounds.idle;
+        self.idle.retain(|_, idle| {
+            idle.retain(|(since, connection)| since.elapsed() < keep && connection.quiet());
+            !idle.is_empty()
+        });
+    }
+
+    /// Connections open now, dialled so far, and reused so far.
+    #[must_use]
+    pub fn counts(&self) -> (usize, u64, u64) {
+        (self.open.get(), self.dialled, self.reused)
+    }
+}
--- /dev/null
+++ b/src/proto/http.rs
@@ -0,0 +1,269 @@
+//! The client's side of HTTP/1.1, as far as the origin and discovery need it.
+
+use super::{MAX_VALUE, ProtoError};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use winnow::ascii::{crlf, dec_uint, hex_uint, space0, space1};
+use winnow::combinator::{alt, preceded, repeat, terminated};
+use winnow::error::{ContextError, ErrMode};
+use winnow::prelude::*;
+use winnow::stream::Partial;
+use winnow::token::{take_till, take_while};
+
+/// Most bytes of an answer's head.
+const MAX_HEAD: usize = 16 * 1024;
+/// Most bytes of the line before a chunk.
+const MAX_CHUNK_LINE: usize = 256;
+
+type Input<'a> = Partial<&'a [u8]>;
+type Parsed<T> = Result<T, ErrMode<ContextError>>;
+
+/// What the head of an answer tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// The status code.
+    pub status: u16,
+    /// `Srv-Declined: 1`: the request never ran.
+    pub declined: bool,
+    /// The connection stays open after this answer.
+    pub keep: bool,
+    body: Body,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Body {
+    Length(usize),
+    Chunked,
+}
+
+/// Where the decoder is in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Head,
+    Length(usize),
+    ChunkLine,
+    Chunk(usize),
+    ChunkEnd,
+    Trailer,
+}
+
+/// What the decoder found next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// The head of an answer.
+    Head(Head),
+    /// A part of the body, a slice of the buffer it was read into.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+}
+
+/// Decodes answers piece by piece, so that a watch that never ends can be followed as well.
+#[derive(Debug, Clone)]
+pub struct Decoder {
+    state: State,
+    max_length: usize,
+}
+
+impl Default for Decoder {
+    fn default() -> Self {
+        Self { state: State::Head, max_length: MAX_VALUE }
+    }
+}
+
+fn header<'a>(input: &mut Input<'a>) -> Parsed<(&'a [u8], &'a [u8])> {
+    let name = take_while(1.., |b: u8| b.is_ascii_graphic() && b != b':');
+    let name = terminated(name, (b':', space0)).parse_next(input)?;
+    let value = terminated(take_till(0.., (b'\r', b'\n')), crlf).parse_next(input)?;
+    Ok((name, value.trim_ascii_end()))
+}
+
+fn head(input: &mut Input<'_>) -> Parsed<Head> {
+    let version = preceded(b"HTTP/1.", alt((b'0', b'1')));
+    let version = terminated(version, space1).parse_next(input)?;
+    let status = dec_uint.verify(|code| (100..600).contains(code)).parse_next(input)?;
+    (take_till(0.., (b'\r', b'\n')), crlf).void().parse_next(input)?;
+    let headers: Vec<_> = repeat(0..64, header).parse_next(input)?;
+    crlf.void().parse_next(input)?;
+    let mut found = Head { status, declined: false, keep: version == b'1', body: Body::Length(0) };
+    let mut length = None;
+    for (name, value) in headers {
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let text = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+            // Two lengths that differ would let one answer be read as two.
+            if text.is_none() || length.is_some_and(|n| Some(n) != text) {
+                return Err(ErrMode::Cut(ContextError::new()));
+            }
+            length = text;
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            if !value.eq_ignore_ascii_case(b"chunked") {
+                return Err(ErrMode::Cut(ContextError::new()));
+            }
+            found.body = Body::Chunked;
+        } else if name.eq_ignore_ascii_case(b"connection") {
+            found.keep = found.keep && !value.eq_ignore_ascii_case(b"close");
+        } else if name.eq_ignore_ascii_case(b"srv-declined") {
+            found.declined = value == b"1";
+        }
+    }
+    if found.body != Body::Chunked && status != 204 && status != 304 {
+        // An answer without a stated end cannot be told from a broken one.
+        found.body = Body::Length(length.ok_or(ErrMode::Cut(ContextError::new()))?);
+    }
+    Ok(found)
+}
+
+fn chunk_line(input: &mut Input<'_>) -> Parsed<usize> {
+    let size: u32 = hex_uint.parse_next(input)?;
+    (take_till(0.., (b'\r', b'\n')), crlf).void().parse_next(input)?;
+    Ok(size as usize)
+}
+
+/// The end of a chunked body: its trailer lines, then an empty one.
+fn trailer(input: &mut Input<'_>) -> Parsed<()> {
+    repeat::<_, _, (), _, _>(0..64, header).parse_next(input)?;
+    crlf.void().parse_next(input)
+}
+
+/// Runs a parser over the buffer's start and takes what it used.
+fn take<T>(
+    buffer: &mut BytesMut, most: usize, what: &'static str, parser: impl Fn(&mut Input<'_>) -> Parsed<T>,
+) -> Result<Option<T>, ProtoError> {
+    let mut input = Partial::new(&buffer[..]);
+    match parser(&mut input) {
+        Ok(found) => {
+            let used = buffer.len() - input.len();
+            buffer.advance(used);
+            Ok(Some(found))
+        }
+        Err(ErrMode::Incomplete(_)) if buffer.len() > most => Err(ProtoError::TooLong(what)),
+        Err(ErrMode::Incomplete(_)) => Ok(None),
+        Err(_) => Err(ProtoError::Malformed(what)),
+    }
+}
+
+impl Decoder {
+    /// A decoder for bodies of up to `max_length` bytes where they state a length.
+    #[must_use]
+    pub fn new(max_length: usize) -> Self {
+        Self { max_length, ..Self::default() }
+    }
+
+    /// Takes the next piece off the buffer; `None` while more bytes are needed.
+    ///
+    /// # Errors
+    /// When the bytes are no answer; the connection cannot go on.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Piece>, ProtoError> {
+        loop {
+            match self.state {
+                State::Head => {
+                    let Some(head) = take(buffer, MAX_HEAD, "head", head)? else { return Ok(None) };
+                    if (100..200).contains(&head.status) {
+                        continue; // an interim answer: the real one follows
+                    }
+                    self.state = match head.body {
+                        Body::Length(n) if n > self.max_length => return Err(ProtoError::TooLong("body")),
+                        Body::Length(n) => State::Length(n),
+                        Body::Chunked => State::ChunkLine,
+                    };
+                    return Ok(Some(Piece::Head(head)));
+                }
+                State::Length(0) => {
+                    self.state = State::Head;
+                    return Ok(Some(Piece::End));
+                }
+                // A stated length is small: it is waited for and given as one slice.
+                State::Length(n) if buffer.len() < n => return Ok(None),
+                State::Length(n) => {
+                    self.state = State::Length(0);
+                    return Ok(Some(Piece::Data(buffer.split_to(n).freeze())));
+                }
+                State::ChunkLine => {
+                    let Some(n) = take(buffer, MAX_CHUNK_LINE, "chunk", chunk_line)? else { return Ok(None) };
+                    self.state = if n == 0 { State::Trailer } else { State::Chunk(n) };
+                }
+                State::Chunk(_) if buffer.is_empty() => return Ok(None),
+                State::Chunk(n) => {
+                    let part = buffer.split_to(n.min(buffer.len())).freeze();
+                    let left = n - part.len();
+                    self.state = if left == 0 { State::ChunkEnd } else { State::Chunk(left) };
+                    return Ok(Some(Piece::Data(part)));
+                }
+                State::ChunkEnd => {
+                    if take(buffer, 2, "chunk", |input| crlf.void().parse_next(input))?.is_none() {
+                        return Ok(None);
+                    }
+                    self.state = State::ChunkLine;
+                }
+                State::Trailer => {
+                    if take(buffer, MAX_HEAD, "trailer", trailer)?.is_none() {
+                        return Ok(None);
+                    }
+                    self.state = State::Head;
+                    return Ok(Some(Piece::End));
+                }
+            }
+        }
+    }
+}
+
+/// Gathers the pieces of one answer with a body of bounded size.
+#[derive(Debug, Default)]
+pub struct Whole {
+    decoder: Decoder,
+    head: Option<Head>,
+    first: Bytes,
+    more: BytesMut,
+}
+
+impl Whole {
+    /// Gathers an answer whose body has at most `max` bytes.
+    #[must_use]
+    pub fn new(max: usize) -> Self {
+        Self { decoder: Decoder::new(max), ..Self::default() }
+    }
+
+    /// The answer once it is whole; `None` while more bytes are needed. One slice is passed on uncopied.
+    ///
+    /// # Errors
+    /// When the bytes are no answer, or its body is too long.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<(Head, Bytes)>, ProtoError> {
+        while let Some(piece) = self.decoder.next(buffer)? {
+            match piece {
+                Piece::Head(head) => self.head = Some(head),
+                Piece::Data(part) if self.first.is_empty() => self.first = part,
+                Piece::Data(part) => {
+                    if self.first.len() + self.more.len() + part.len() > self.decoder.max_length {
+                        return Err(ProtoError::TooLong("body"));
+                    }
+                    self.more.put_slice(&part);
+                }
+                Piece::End => {
+                    let first = std::mem::take(&mut self.first);
+                    let body = if self.more.is_empty() {
+                        first
+                    } else {
+                        [&first[..], &self.more.split()[..]].concat().into()
+                    };
+                    return Ok(self.head.take().map(|head| (head, body)));
+                }
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// Writes the head of a request; the body, if any, follows as it is.
+#[must_use]
+pub fn request(method: &str, path: &[u8], host: &str, headers: &[(&str, &[u8])]) -> BytesMut {
+    let mut out = BytesMut::with_capacity(256);
+    for part in [method.as_bytes(), b" ", path, b" HTTP/1.1\r\nHost: ", host.as_bytes(), b"\r\n"] {
+        out.put_slice(part);
+    }
+    for (name, value) in headers {
+        for part in [name.as_bytes(), b": ", value, b"\r\n"] {
+            out.put_slice(part);
+        }
+    }
+    out.put_slice(b"\r\n");
+    out
+}
--- /dev/null
+++ b/src/proto/resp.rs
@@ -0,0 +1,179 @@
+//! RESP2: the commands of clients, the answers of peers, and what is written to both.
+
+use super::{MAX_VALUE, ProtoError};
+use bytes::{BufMut, Bytes, BytesMut};
+use std::ops::Range;
+use winnow::ascii::{crlf, dec_int};
+use winnow::combinator::{alt, dispatch, fail, preceded, repeat, terminated};
+use winnow::error::{ContextError, ErrMode};
+use winnow::prelude::*;
+use winnow::stream::{LocatingSlice, Partial};
+use winnow::token::{any, take, take_while};
+
+/// Most words of a command; the longest that clients send has five.
+const MAX_WORDS: i64 = 16;
+/// Most bytes of a command's words other than its value.
+const MAX_HEAD: usize = 4 * 1024;
+/// Most bytes of a command, or of an answer's parts, together.
+const MAX_MESSAGE: usize = MAX_VALUE + MAX_HEAD;
+/// Longest line: a count, a length, a status or an error.
+const MAX_LINE: usize = 512;
+
+type Input<'a> = Partial<LocatingSlice<&'a [u8]>>;
+type Parsed<T> = Result<T, ErrMode<ContextError>>;
+
+/// A command: its words, each a slice of the buffer it was read into.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Command(pub Vec<Bytes>);
+
+/// One part of an answer, as a place in the message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Part {
+    Bulk(Range<usize>),
+    Null,
+    Line(Range<usize>),
+}
+
+/// What a peer answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The value or the write's receipt.
+    Served(Bytes),
+    /// The peer lacks the key; `pending` when it has told another request to fetch it.
+    Miss {
+        /// Another fetch of the key is out.
+        pending: bool,
+    },
+    /// Turned away unseen.
+    Busy,
+    /// Failed; it may have run. The text is the peer's.
+    Failed(Bytes),
+}
+
+fn number(input: &mut Input<'_>) -> Parsed<i64> {
+    terminated(dec_int, crlf).parse_next(input)
+}
+
+/// The bytes of a bulk string after its `$`; `None` for the null one.
+fn bulk_body(input: &mut Input<'_>) -> Parsed<Option<Range<usize>>> {
+    let len = number.parse_next(input)?;
+    if len == -1 {
+        return Ok(None);
+    }
+    // Guards memory: a length is refused before any of its bytes are waited for.
+    let len = usize::try_from(len).ok().filter(|&len| len <= MAX_VALUE);
+    let Some(len) = len else { return Err(ErrMode::Cut(ContextError::new())) };
+    terminated(take(len).span(), crlf).map(Some).parse_next(input)
+}
+
+fn word(input: &mut Input<'_>) -> Parsed<Range<usize>> {
+    preceded(b'$', bulk_body).verify_map(|found| found).parse_next(input)
+}
+
+fn line(input: &mut Input<'_>) -> Parsed<Range<usize>> {
+    terminated(take_while(0..MAX_LINE, |b| b != b'\r' && b != b'\n').span(), crlf).parse_next(input)
+}
+
+fn command(input: &mut Input<'_>) -> Parsed<Vec<Range<usize>>> {
+    let words = preceded(b'*', number).verify(|n| (1..=MAX_WORDS).contains(n)).parse_next(input)?;
+    repeat(words as usize, word).parse_next(input)
+}
+
+fn part(input: &mut Input<'_>) -> Parsed<Part> {
+    dispatch! { any;
+        b'$' => bulk_body.map(|found| found.map_or(Part::Null, Part::Bulk)),
+        b'+' | b':' => line.map(Part::Line),
+        _ => fail,
+    }
+    .parse_next(input)
+}
+
+enum Shape {
+    Array(Vec<Part>),
+    Error(Range<usize>),
+}
+
+fn answer(input: &mut Input<'_>) -> Parsed<Shape> {
+    let array = preceded(b'*', number)
+        .verify(|n| (1..=MAX_WORDS).contains(n))
+        .flat_map(|n| repeat(n as usize, part))
+        .map(Shape::Array);
+    alt((array, preceded(b'-', line).map(Shape::Error))).parse_next(input)
+}
+
+/// Runs a parser over what has been read: `None` while the message is not whole.
+fn run<'a, T>(
+    buffer: &'a [u8], what: &'static str, mut parser: impl FnMut(&mut Input<'a>) -> Parsed<T>,
+) -> Result<Option<(T, usize)>, ProtoError> {
+    let mut input = Partial::new(LocatingSlice::new(buffer));
+    match parser(&mut input) {
+        Ok(found) => {
+            let end = buffer.len() - input.len();
+            if end > MAX_MESSAGE { Err(ProtoError::TooLong(what)) } else { Ok(Some((found, end))) }
+        }
+        // Guards memory against a message that never ends.
+        Err(ErrMode::Incomplete(_)) if buffer.len() > MAX_MESSAGE => Err(ProtoError::TooLong(what)),
+        Err(ErrMode::Incomplete(_)) => Ok(None),
+        Err(_) => Err(ProtoError::Malformed(what)),
+    }
+}
+
+/// Takes the next whole command off the buffer; `None` while it has not all come.
+///
+/// # Errors
+/// When the bytes are no command; the connection cannot go on.
+pub fn next_command(buffer: &mut BytesMut) -> Result<Option<Command>, ProtoError> {
+    let Some((words, end)) = run(buffer, "command", |input| command(input))? else { return Ok(None) };
+    let message = buffer.split_to(end).freeze();
+    Ok(Some(Command(words.into_iter().map(|at| message.slice(at)).collect())))
+}
+
+/// Takes a peer's next whole answer off the buffer; `None` while it has not all come.
+///
+/// # Errors
+/// When the bytes are no answer; the connection cannot go on.
+pub fn next_answer(buffer: &mut BytesMut) -> Result<Option<Answer>, ProtoError> {
+    let Some((shape, end)) = run(buffer, "answer", |input| answer(input))? else { return Ok(None) };
+    let message = buffer.split_to(end).freeze();
+    Ok(Some(match shape {
+        Shape::Error(at) => {
+            let text = message.slice(at);
+            let busy = text.strip_prefix(b"BUSY").is_some_and(|rest| rest.first().is_none_or(|b| *b == b' '));
+            if busy { Answer::Busy } else { Answer::Failed(text) }
+        }
+        Shape::Array(parts) => match &parts[0] {
+            Part::Bulk(at) => Answer::Served(message.slice(at.clone())),
+            Part::Null => {
+                let note = parts.get(1).map(|part| match part {
+                    Part::Bulk(at) | Part::Line(at) => &message[at.clone()],
+                    Part::Null => &[],
+                });
+                Answer::Miss { pending: note == Some(b"pending") }
+            }
+            Part::Line(_) => return Err(ProtoError::Malformed("answer")),
+        },
+    }))
+}
+
+/// A decimal number and a line end, without formatting machinery.
+fn put_count(out: &mut BytesMut, sign: u8, n: usize) {
+    out.put_u8(sign);
+    out.put_slice(n.to_string().as_bytes());
+    out.put_slice(b"\r\n");
+}
+
+/// Appends one bulk string.
+pub fn put_bulk(out: &mut BytesMut, bytes: &[u8]) {
+    out.reserve(bytes.len() + 16);
+    put_count(out, b'$', bytes.len());
+    out.put_slice(bytes);
+    out.put_slice(b"\r\n");
+}
+
+/// Appends a command of these words.
+pub fn put_command(out: &mut BytesMut, words: &[&[u8]]) {
+    put_count(out, b'*', words.len());
+    for word in words {
+        put_bulk(out, word);
+    }
+}
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,58 @@
+//! The balancer's life: start, serve, wind down.
+
+use crate::config::Config;
+use crate::engine::Engine;
+use crate::front::Front;
+use crate::upstream_group;
+use anyhow::{Context, Result};
+use std::time::Duration;
+use tokio::net::TcpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+
+/// New connections keep coming for this long after SIGTERM.
+const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// What is left this long after the last deadline is not waited for.
+const LAST_CALL: Duration = Duration::from_millis(150);
+
+/// Serves until SIGTERM or SIGINT, and then until what was taken is answered.
+///
+/// # Errors
+/// When the program cannot listen.
+pub fn serve(config: Config) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+async fn run(config: Config) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?; // a restart must not wait for the old connections to be forgotten
+    socket.bind(config.listen).with_context(|| format!("listening on {}", config.listen))?;
+    let listener = socket.listen(1024)?;
+    log::info!("{}: listening on {}", config.name, config.listen);
+
+    let (engine, handle) = Engine::new(&config);
+    let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
+    tokio::task::spawn_local(engine.run());
+    tokio::task::spawn_local(upstream_group::follow(config.discovery, move |list| handle.told(list)));
+    let (stop, stopped) = oneshot::channel();
+    let accepting = tokio::task::spawn_local(front.clone().accept(listener, stopped));
+
+    tokio::select! {
+        _ = terminate.recv() => log::info!("SIGTERM: winding down"),
+        _ = interrupt.recv() => log::info!("SIGINT: winding down"),
+    }
+    sleep(STILL_ACCEPTING).await;
+    let _ = stop.send(());
+    let _ = accepting.await;
+    front.closing.cancel();
+    if timeout(config.bounds.longest + LAST_CALL, front.emptied()).await.is_err() {
+        log::warn!("some client connections were still busy at the end");
+    }
+    log::info!("{}: done", config.name);
+    Ok(())
+}
--- /dev/null
+++ b/src/upstream_group.rs
@@ -0,0 +1,211 @@
+//! The upstream group: the peers that discovery lists, and the watch that keeps the list.
+
+use crate::api::{CellId, ListKind, Presence, ServerEntry, ServerId, ZoneId};
+use crate::config::Names;
+use crate::proto::discovery::{self, Line, List, MAX_LIST, Member, Phase};
+use crate::proto::http::{self, Decoder, Piece, Whole};
+use anyhow::{Context, Result, bail, ensure};
+use bytes::BytesMut;
+use fnv::FnvHasher;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::Cell;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// A watch sends a line every 2 s; this much silence means that it is broken.
+const SILENCE: Duration = Duration::from_secs(7);
+/// Waits between attempts to reach discovery: the first, and the longest.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+
+/// A peer or the origin, as last listed.
+#[derive(Debug)]
+pub struct Peer {
+    /// Its number in the module.
+    pub id: ServerId,
+    /// Its name in discovery.
+    pub name: String,
+    /// Where to reach it.
+    pub addr: SocketAddr,
+    /// Whether it is the origin, which speaks HTTP.
+    pub origin: bool,
+    since: u64,
+    presence: Cell<Presence>,
+}
+
+impl Peer {
+    /// Whether something new may be sent to it.
+    pub fn ready(&self) -> bool {
+        self.presence.get() == Presence::Ready
+    }
+}
+
+/// A stable hash of discovery's id, so that all balancers rank keys alike. Never of address or order: both vary.
+#[must_use]
+pub fn server_id(name: &str) -> ServerId {
+    let mut hasher = FnvHasher::default();
+    hasher.write(name.as_bytes());
+    ServerId(hasher.finish())
+}
+
+/// The peers listed.
+#[derive(Debug)]
+pub struct UpstreamGroup {
+    names: Names,
+    origin_kind: Option<u16>,
+    peers: FxHashMap<ServerId, Rc<Peer>>,
+}
+
+fn place<T: TryFrom<usize>>(names: &[String], name: &str, unknown: T) -> T {
+    names.iter().position(|n| n == name).and_then(|at| T::try_from(at).ok()).unwrap_or(unknown)
+}
+
+impl UpstreamGroup {
+    /// An empty group.
+    #[must_use]
+    pub fn new(names: Names, origin_kind: Option<u16>) -> Self {
+        Self { names, origin_kind, peers: FxHashMap::default() }
+    }
+
+    /// A peer that the list has named.
+    #[must_use]
+    pub fn peer(&self, id: ServerId) -> Option<&Rc<Peer>> {
+        self.peers.get(&id)
+    }
+
+    /// Takes in a list; returns it in the module's form, and the peers to which idle connections are void.
+    pub fn apply(&mut self, list: &List, cached: bool) -> (ListKind, Vec<ServerEntry>, Vec<ServerId>) {
+        let entries: Vec<_> = list.members.iter().map(|m| self.entry(m)).collect();
+        let mut stale = Vec::new();
+        if list.complete {
+            let named: FxHashSet<_> = entries.iter().map(|e| e.id).collect();
+            self.peers.retain(|id, peer| {
+                let keep = named.contains(id);
+                if !keep {
+                    peer.presence.set(Presence::Gone); // tries that are dialling still look at it
+                    stale.push(*id);
+                }
+                keep
+            });
+        }
+        for (member, entry) in list.members.iter().zip(&entries) {
+            if let Some(peer) = self.peers.get(&entry.id) {
+                peer.presence.set(entry.presence);
+                let same = peer.addr == member.host_port && peer.since == member.up_since_ms;
+                if !same || !peer.ready() {
+                    stale.push(entry.id);
+                }
+                if same {
+                    continue;
+                }
+            }
+            let peer = Peer {
+                id: entry.id,
+                name: member.id.clone(),
+                addr: member.host_port,
+                origin: self.origin_kind == Some(entry.kind),
+                since: member.up_since_ms,
+                presence: Cell::new(entry.presence),
+            };
+            if let Some(old) = self.peers.insert(entry.id, Rc::new(peer)) {
+                old.presence.set(Presence::Gone); // what it was: its address or its process has changed
+            }
+        }
+        let kind = match (cached, list.complete) {
+            (true, _) => ListKind::Cached,
+            (_, true) => ListKind::Full,
+            _ => ListKind::Delta,
+        };
+        (kind, entries, stale)
+    }
+
+    fn entry(&self, member: &Member) -> ServerEntry {
+        ServerEntry {
+            id: server_id(&member.id),
+            presence: match member.phase {
+                Phase::Ready => Presence::Ready,
+                Phase::Draining => Presence::Draining,
+                Phase::Gone => Presence::Gone,
+            },
+            kind: place(&self.names.kinds, &member.flavor, u16::MAX),
+            weight: if member.size.is_finite() && member.size > 0.0 { member.size } else { 1.0 },
+            cell: CellId(member.cell),
+            zone: ZoneId(place(&self.names.zones, &member.locality, u8::MAX)),
+            online_since: member.up_since_ms.saturating_mul(1_000),
+        }
+    }
+}
+
+/// Follows discovery for ever. A broken watch is begun again from the last revision; the list stays meanwhile.
+pub async fn follow(addr: SocketAddr, told: impl Fn(List)) {
+    let (mut revision, mut wait) = (None, BACKOFF.0);
+    loop {
+        let before = revision;
+        match follow_once(addr, &mut revision, &told).await {
+            Ok(never) => match never {},
+            Err(error) => log::warn!("discovery: {error:#}; the list stays as it is"),
+        }
+        wait = if revision == before { (wait * 2).min(BACKOFF.1) } else { BACKOFF.0 };
+        sleep(wait.mul_f64(fastrand::f64() + 0.5)).await;
+    }
+}
+
+async fn dial(addr: SocketAddr, path: &str) -> Result<TcpStream> {
+    let mut stream =
+        timeout(Duration::from_secs(1), TcpStream::connect(addr)).await.context("dialling")??;
+    stream.set_nodelay(true)?;
+    stream.write_all(&http::request("GET", path.as_bytes(), &addr.to_string(), &[])).await?;
+    Ok(stream)
+}
+
+async fn read(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<()> {
+    let n = timeout(SILENCE, stream.read_buf(buffer)).await.context("silence")??;
+    ensure!(n > 0, "the connection ended");
+    Ok(())
+}
+
+async fn follow_once(
+    addr: SocketAddr, revision: &mut Option<u64>, told: &impl Fn(List),
+) -> Result<std::convert::Infallible> {
+    if revision.is_none() {
+        let mut stream = dial(addr, "/v1/endpoints").await?;
+        let (mut whole, mut buffer) = (Whole::new(MAX_LIST), BytesMut::new());
+        let (head, body) = loop {
+            match whole.next(&mut buffer)? {
+                Some(answer) => break answer,
+                None => read(&mut stream, &mut buffer).await?,
+            }
+        };
+        ensure!(head.status == 200, "status {}", head.status);
+        let list = discovery::list(&body)?;
+        log::info!("discovery: revision {}, {} members", list.revision, list.members.len());
+        *revision = Some(list.revision);
+        told(list);
+    }
+    let path = format!("/v1/endpoints?watch=1&from={}", revision.unwrap_or_default());
+    let mut stream = dial(addr, &path).await?;
+    let (mut decoder, mut buffer, mut lines) = (Decoder::default(), BytesMut::new(), BytesMut::new());
+    loop {
+        match decoder.next(&mut buffer)? {
+            None => read(&mut stream, &mut buffer).await?,
+            Some(Piece::Head(head)) => ensure!(head.status == 200, "status {}", head.status),
+            Some(Piece::End) => bail!("the watch ended"),
+            Some(Piece::Data(part)) => {
+                lines.extend_from_slice(&part);
+                while let Some(line) = discovery::next_line(&mut lines)? {
+                    if let Line::Changed(list) = line {
+                        for member in &list.members {
+                            log::info!("discovery: {} is {:?}", member.id, member.phase);
+                        }
+                        *revision = Some(list.revision);
+                        told(list);
+                    }
+                }
+            }
+        }
+    }
+}
