--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -5,7 +5,6 @@
 use crate::config::Names;
 use crate::engine::Incoming;
 use crate::proto::resp::Command;
-use bytes::Bytes;
 use std::time::Duration;
 
 /// Longest time that a client's request may name; more is cut to it.
@@ -93,7 +92,7 @@
             id: id.clone(),
             options: options.clone(),
             time_at,
-            value: words.get(4).map(Bytes::clone),
+            value: words.get(4).cloned(),
         },
     })
 }
--- a/src/proto/resp.rs
+++ b/src/proto/resp.rs
@@ -123,7 +123,7 @@
 /// # Errors
 /// When the bytes are no command; the connection cannot go on.
 pub fn next_command(buffer: &mut BytesMut) -> Result<Option<Command>, ProtoError> {
-    let Some((words, end)) = run(buffer, "command", |input| command(input))? else { return Ok(None) };
+    let Some((words, end)) = run(buffer, "command", command)? else { return Ok(None) };
     let message = buffer.split_to(end).freeze();
     Ok(Some(Command(words.into_iter().map(|at| message.slice(at)).collect())))
 }
@@ -133,7 +133,7 @@
 /// # Errors
 /// When the bytes are no answer; the connection cannot go on.
 pub fn next_answer(buffer: &mut BytesMut) -> Result<Option<Answer>, ProtoError> {
-    let Some((shape, end)) = run(buffer, "answer", |input| answer(input))? else { return Ok(None) };
+    let Some((shape, end)) = run(buffer, "answer", answer)? else { return Ok(None) };
     let message = buffer.split_to(end).freeze();
     Ok(Some(match shape {
         Shape::Error(at) => {
