--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration: the platform's JSON, read once, and the settings flattened to the module's paths.
 
 use crate::api::Settings;
+use crate::proto::MAX_VALUE;
 use crate::proto::discovery::List;
 use anyhow::{Context, Result, ensure};
 use serde::Deserialize;
@@ -71,7 +72,7 @@
     pub peers: usize,
     /// Bytes of requests' values held at a time.
     pub held_bytes: usize,
-    /// Requests held open at a time.
+    /// Requests taken at a time whose answers have not been written: a third of the memory could hold them all.
     pub open: usize,
     /// How long a dial may take.
     pub dial: Duration,
@@ -136,6 +137,7 @@
             Duration::from_micros(file.settings["permissions"][name].as_u64().unwrap_or(default))
         };
         let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or_default();
+        let memory = file.limits.memory_mb.saturating_mul(1 << 20);
         let open = file.settings["permissions"]["maxOpen"].as_u64().unwrap_or(20_000);
         Ok(Self {
             name: file.name,
@@ -152,8 +154,8 @@
             bounds: Bounds {
                 clients: usable / 2,
                 peers: usable - usable / 2,
-                held_bytes: file.limits.memory_mb.saturating_mul(1 << 20) / 6,
-                open: usize::try_from(open).unwrap_or(usize::MAX),
+                held_bytes: memory / 6,
+                open: usize::try_from(open).unwrap_or(usize::MAX).min(memory / 3 / MAX_VALUE),
                 dial: micros("dialTimeoutUs", 100_000),
                 // A margin below the peers' own limit: a request written after it ends as a reset.
                 idle: micros("connIdleUs", 10_000_000).mul_f64(0.85),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -55,6 +55,8 @@
 pub struct Handle {
     inputs: mpsc::UnboundedSender<Input>,
     next: Rc<Cell<u64>>,
+    claims: Rc<Cell<usize>>,
+    most_claims: usize,
     ready: Rc<Cell<bool>>,
 }
 
@@ -64,9 +66,16 @@
     pub fn submit(&self, incoming: Incoming) -> Ticket {
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (sender, answer) = oneshot::channel();
-        // If the core is gone, the sender is dropped with the input and the ticket tells a failure.
-        let _ = self.inputs.send(Input::Arrived(id, incoming, sender));
-        Ticket { id, answer, inputs: self.inputs.clone(), answered: false }
+        if self.claims.get() >= self.most_claims {
+            // Guards memory: each claim may come to hold an answer until its client has read it.
+            let _ = sender.send(Answer::Refused(0));
+        } else {
+            // If the core is gone, the sender is dropped with the input and the ticket tells a failure.
+            let _ = self.inputs.send(Input::Arrived(id, incoming, sender));
+        }
+        self.claims.set(self.claims.get() + 1);
+        let claims = self.claims.clone();
+        Ticket { id, answer, inputs: self.inputs.clone(), claims, answered: false }
     }
 
     /// Tells the core what discovery has told.
@@ -86,6 +95,7 @@
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
     inputs: mpsc::UnboundedSender<Input>,
+    claims: Rc<Cell<usize>>,
     answered: bool,
 }
 
@@ -101,6 +111,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        self.claims.set(self.claims.get() - 1);
         if !self.answered {
             let _ = self.inputs.send(Input::Left(self.id));
         }
@@ -142,7 +153,8 @@
     #[must_use]
     pub fn new(config: &Config) -> (Self, Handle) {
         let (sender, inputs) = mpsc::unbounded_channel();
-        let handle = Handle { inputs: sender, next: Rc::default(), ready: Rc::default() };
+        let (next, claims, ready) = Default::default();
+        let handle = Handle { inputs: sender, next, claims, most_claims: config.bounds.open, ready };
         // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         let mut engine = Self {
@@ -188,7 +200,7 @@
                 }
                 () = &mut first_list, if !self.handle.ready() => {
                     log::warn!("discovery: silent; starting with the list known before");
-                    self.handle.ready.set(true);
+                    self.become_ready();
                 }
             }
             self.settle();
@@ -213,11 +225,17 @@
             }
             Input::Told(list) => {
                 self.told(&list, false);
-                self.handle.ready.set(true);
+                self.become_ready();
             }
         }
     }
 
+    fn become_ready(&mut self) {
+        if !self.handle.ready.replace(true) {
+            log::info!("ready");
+        }
+    }
+
     fn told(&mut self, list: &List, cached: bool) {
         let (kind, entries, stale) = self.group.apply(list, cached);
         stale.into_iter().for_each(|id| self.pools.close_idle(id));
@@ -226,7 +244,7 @@
 
     fn arrived(&mut self, id: RequestId, incoming: Incoming, answer: oneshot::Sender<Answer>) {
         let held = incoming.call.value.as_ref().map_or(0, |v| v.len());
-        if self.contexts.len() >= self.bounds.open || self.held_bytes + held > self.bounds.held_bytes {
+        if self.held_bytes + held > self.bounds.held_bytes {
             // Guards memory: turned away before the module hears of it.
             let _ = answer.send(Answer::Refused(0));
             return;
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, timeout};
 
 /// Commands of one connection that may wait for their answers; beyond it nothing is read.
-const MOST_WAITING: usize = 64;
+const MOST_WAITING: usize = 32;
 /// Bytes of answers that are gathered before they are written.
 const MOST_GATHERED: usize = 256 * 1024;
 /// How long a client may take to read an answer.
@@ -119,13 +119,25 @@
         }
     }
 
+    /// Moves the answers that are due to `out`, and reads on where that has made room.
     fn gather(&mut self, out: &mut BytesMut) {
-        while out.len() < MOST_GATHERED {
-            match self.replies.pop_front() {
-                Some(Reply::Now(bytes)) if out.is_empty() => *out = bytes,
-                Some(Reply::Now(bytes)) => out.unsplit(bytes),
-                Some(later) => return self.replies.push_front(later),
-                None => return self.parse(),
+        loop {
+            while out.len() < MOST_GATHERED {
+                match self.replies.pop_front() {
+                    Some(Reply::Now(bytes)) if out.is_empty() => *out = bytes,
+                    Some(Reply::Now(bytes)) => out.unsplit(bytes),
+                    Some(later) => {
+                        self.replies.push_front(later);
+                        break;
+                    }
+                    None => break,
+                }
+            }
+            // Guards commands that were read but had no place: each place that falls free is used at once.
+            let waiting = self.replies.len();
+            self.parse();
+            if self.replies.len() == waiting {
+                return;
             }
         }
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -79,7 +79,8 @@
             if !self.evict() {
                 log::warn!("all {} client connections are busy", self.most);
             }
-            self.freed.notified().await;
+            // Guards against waiting for one that was asked to close just as its next request came.
+            let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
         }
     }
 
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -66,8 +66,9 @@
     }
 
     async fn exchange(self, written: &Cell<bool>) -> Ended {
-        let Some(mut connection) = open(self.line, &self.peer, self.dial).await else {
-            return Outcome::ConnectFailed.into();
+        let mut connection = match open(self.line, &self.peer, self.dial).await {
+            Ok(connection) => connection,
+            Err(outcome) => return outcome.into(),
         };
         if !self.peer.ready() {
             return Outcome::Full.into(); // guards drains: it began to drain or went while we dialled
@@ -85,7 +86,7 @@
         let answer = if self.peer.origin {
             read_http(&mut connection).await
         } else {
-            read_resp(&mut connection).await
+            read_resp(&mut connection, &self.peer.name).await
         };
         match answer {
             Ok((ended, keep)) => Ended { connection: keep.then_some(connection), ..ended },
@@ -98,25 +99,26 @@
     }
 }
 
-async fn open(line: Line, peer: &Peer, dial: Duration) -> Option<Connection> {
+async fn open(line: Line, peer: &Peer, dial: Duration) -> Result<Connection, Outcome> {
     let place = match line {
-        Line::Open(connection) => return Some(connection),
+        Line::Open(connection) => return Ok(connection),
         Line::Dial(place) => place.0,
         Line::None => {
+            // Our own limit, never sent: it says nothing of the peer's health.
             log::warn!("peer {}: no connection to spare", peer.name);
-            return None;
+            return Err(Outcome::Full);
         }
     };
     match timeout(dial, TcpStream::connect(peer.addr)).await {
         Ok(Ok(stream)) => {
-            stream.set_nodelay(true).ok()?;
-            Some(Connection { stream, buffer: BytesMut::new(), _place: place })
+            stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
+            Ok(Connection { stream, buffer: BytesMut::new(), _place: place })
         }
         Ok(Err(error)) => {
             log::debug!("peer {}: dialling: {error}", peer.name);
-            None
+            Err(Outcome::ConnectFailed)
         }
-        Err(_) => None,
+        Err(_) => Err(Outcome::ConnectFailed),
     }
 }
 
@@ -169,7 +171,7 @@
     }
 }
 
-async fn read_resp(connection: &mut Connection) -> Result<(Ended, bool), Broken> {
+async fn read_resp(connection: &mut Connection, name: &str) -> Result<(Ended, bool), Broken> {
     loop {
         let Some(answer) = resp::next_answer(&mut connection.buffer)? else {
             more(connection).await?;
@@ -180,7 +182,10 @@
             resp::Answer::Miss { pending } => Ended { pending, ..Outcome::Miss.into() },
             resp::Answer::Busy => Outcome::Full.into(),
             resp::Answer::Failed(text) => {
-                log::debug!("a peer failed: {}", String::from_utf8_lossy(&text));
+                if text.starts_with(b"SYNTAX") {
+                    let text = String::from_utf8_lossy(&text);
+                    log::error!("peer {name} refused our command: -{text}");
+                }
                 Outcome::Error.into()
             }
         };
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -33,7 +33,7 @@
     socket.set_reuseaddr(true)?; // a restart must not wait for the old connections to be forgotten
     socket.bind(config.listen).with_context(|| format!("listening on {}", config.listen))?;
     let listener = socket.listen(1024)?;
-    log::info!("{}: listening on {}", config.name, config.listen);
+    log::info!("{}: listening on {}", config.name, listener.local_addr()?);
 
     let (engine, handle) = Engine::new(&config);
     let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
--- a/src/upstream_group.rs
+++ b/src/upstream_group.rs
@@ -17,8 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// A watch sends a line every 2 s; this much silence means that it is broken.
-const SILENCE: Duration = Duration::from_secs(7);
+/// A watch sends a line every 2 s; this much silence means that it is broken. What discovery has to tell counts
+/// as told after 6 s at the latest, so that a broken watch must be found, and begun again, sooner.
+const SILENCE: Duration = Duration::from_millis(4500);
 /// Waits between attempts to reach discovery: the first, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
@@ -93,7 +94,11 @@
             });
         }
         for (member, entry) in list.members.iter().zip(&entries) {
-            if let Some(peer) = self.peers.get(&entry.id) {
+            let known = self.peers.get(&entry.id);
+            if known.is_none_or(|peer| peer.presence.get() != entry.presence) {
+                log::info!("discovery: {} is {:?}", member.id, entry.presence);
+            }
+            if let Some(peer) = known {
                 peer.presence.set(entry.presence);
                 let same = peer.addr == member.host_port && peer.since == member.up_since_ms;
                 if !same || !peer.ready() {
@@ -144,12 +149,12 @@
 pub async fn follow(addr: SocketAddr, told: impl Fn(List)) {
     let (mut revision, mut wait) = (None, BACKOFF.0);
     loop {
-        let before = revision;
-        match follow_once(addr, &mut revision, &told).await {
+        let mut healthy = false;
+        match follow_once(addr, &mut revision, &mut healthy, &told).await {
             Ok(never) => match never {},
             Err(error) => log::warn!("discovery: {error:#}; the list stays as it is"),
         }
-        wait = if revision == before { (wait * 2).min(BACKOFF.1) } else { BACKOFF.0 };
+        wait = if healthy { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
         sleep(wait.mul_f64(fastrand::f64() + 0.5)).await;
     }
 }
@@ -169,7 +174,7 @@
 }
 
 async fn follow_once(
-    addr: SocketAddr, revision: &mut Option<u64>, told: &impl Fn(List),
+    addr: SocketAddr, revision: &mut Option<u64>, healthy: &mut bool, told: &impl Fn(List),
 ) -> Result<std::convert::Infallible> {
     if revision.is_none() {
         let mut stream = dial(addr, "/v1/endpoints").await?;
@@ -197,10 +202,8 @@
             Some(Piece::Data(part)) => {
                 lines.extend_from_slice(&part);
                 while let Some(line) = discovery::next_line(&mut lines)? {
+                    *healthy = true;
                     if let Line::Changed(list) = line {
-                        for member in &list.members {
-                            log::info!("discovery: {} is {:?}", member.id, member.phase);
-                        }
                         *revision = Some(list.revision);
                         told(list);
                     }
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,132 @@
+//! Every parser against random cuts of valid messages and against garbage.
+
+use bytes::BytesMut;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use spindlebeam::proto::discovery::{self, Line};
+use spindlebeam::proto::http::Whole;
+use spindlebeam::proto::resp::{self, Answer};
+use spindlebeam::proto::{MAX_VALUE, ProtoError};
+
+fn config() -> Config {
+    Config { cases: 48, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..Config::default() }
+}
+
+/// Feeds `bytes` in pieces cut at `cuts`, and gathers what the parser finds.
+fn fed<T>(
+    bytes: &[u8], cuts: &[usize], mut next: impl FnMut(&mut BytesMut) -> Result<Option<T>, ProtoError>,
+) -> Result<Vec<T>, ProtoError> {
+    let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
+    cuts.extend([0, bytes.len()]);
+    cuts.sort_unstable();
+    let (mut buffer, mut found) = (BytesMut::new(), Vec::new());
+    for pair in cuts.windows(2) {
+        buffer.extend_from_slice(&bytes[pair[0]..pair[1]]);
+        while let Some(item) = next(&mut buffer)? {
+            found.push(item);
+        }
+    }
+    Ok(found)
+}
+
+fn http(bytes: &[u8], cuts: &[usize]) -> Result<Vec<(u16, Vec<u8>)>, ProtoError> {
+    let mut whole = Whole::new(MAX_VALUE);
+    fed(bytes, cuts, |buffer| Ok(whole.next(buffer)?.map(|(head, body)| (head.status, body.to_vec()))))
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn commands_survive_any_cut(
+        words in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..6),
+        cuts in prop::collection::vec(any::<usize>(), 0..12),
+    ) {
+        let mut bytes = BytesMut::new();
+        let slices: Vec<&[u8]> = words.iter().map(Vec::as_slice).collect();
+        resp::put_command(&mut bytes, &slices);
+        resp::put_command(&mut bytes, &[b"PING"]);
+        let found = fed(&bytes, &cuts, resp::next_command).unwrap();
+        prop_assert_eq!(found.len(), 2);
+        prop_assert_eq!(found[0].0.iter().map(|w| w.to_vec()).collect::<Vec<_>>(), words);
+    }
+
+    #[test]
+    fn answers_survive_any_cut(
+        value in prop::collection::vec(any::<u8>(), 0..300), cuts in prop::collection::vec(any::<usize>(), 0..12),
+    ) {
+        let mut bytes = BytesMut::from("*3\r\n");
+        resp::put_bulk(&mut bytes, &value);
+        bytes.extend_from_slice(b"$3\r\nhit\r\n*-1\r\n".strip_suffix(b"*-1\r\n").unwrap());
+        bytes.extend_from_slice(b"$-1\r\n*3\r\n$-1\r\n$7\r\npending\r\n$-1\r\n-BUSY\r\n-ERR failed\r\n");
+        let found = fed(&bytes, &cuts, resp::next_answer).unwrap();
+        let expected = [
+            Answer::Served(value.into()),
+            Answer::Miss { pending: true },
+            Answer::Busy,
+            Answer::Failed("ERR failed".into()),
+        ];
+        prop_assert_eq!(&found[..], &expected[..]);
+    }
+
+    #[test]
+    fn http_answers_survive_any_cut(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..60), 0..5),
+        cuts in prop::collection::vec(any::<usize>(), 0..12),
+    ) {
+        let body = parts.concat();
+        let mut bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        bytes.extend_from_slice(&body);
+        bytes.extend_from_slice(b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\ntransfer-encoding: chunked\r\n\r\n");
+        for part in &parts {
+            bytes.extend_from_slice(format!("{:x};x=y\r\n", part.len()).as_bytes());
+            bytes.extend_from_slice(part);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\nTrailer: z\r\n\r\n");
+        prop_assert_eq!(http(&bytes, &cuts).unwrap(), vec![(200, body.clone()), (503, body)]);
+    }
+
+    #[test]
+    fn watch_lines_survive_any_cut(revision in any::<u64>(), cuts in prop::collection::vec(any::<usize>(), 0..12)) {
+        let line = format!(
+            "\n{{\"revision\":{revision},\"complete\":false,\"members\":[{{\"id\":\"s-1\",\
+             \"host_port\":\"127.0.0.1:6379\",\"phase\":\"draining\"}}]}}\n"
+        );
+        let found = fed(line.as_bytes(), &cuts, discovery::next_line).unwrap();
+        prop_assert_eq!(&found[0], &Line::Quiet);
+        let Line::Changed(list) = &found[1] else { panic!("{found:?}") };
+        prop_assert_eq!((list.revision, list.members[0].phase), (revision, discovery::Phase::Draining));
+    }
+
+    #[test]
+    fn garbage_is_an_error_or_awaited_but_never_a_panic(
+        start in prop::sample::select(vec!["", "*", "*2\r\n$", "*3\r\n$-1\r\n", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\n", "{"]),
+        noise in prop::collection::vec(prop_oneof![any::<u8>(), prop::sample::select(b"\r\n$*-:+0179a{}".to_vec())], 0..200),
+        cuts in prop::collection::vec(any::<usize>(), 0..6),
+    ) {
+        let bytes = [start.as_bytes(), &noise].concat();
+        // Whatever is found must not depend on how the bytes were cut.
+        prop_assert_eq!(fed(&bytes, &cuts, resp::next_command).ok(), fed(&bytes, &[], resp::next_command).ok());
+        prop_assert_eq!(fed(&bytes, &cuts, resp::next_answer).ok(), fed(&bytes, &[], resp::next_answer).ok());
+        prop_assert_eq!(http(&bytes, &cuts).ok(), http(&bytes, &[]).ok());
+        prop_assert_eq!(fed(&bytes, &cuts, discovery::next_line).ok(), fed(&bytes, &[], discovery::next_line).ok());
+    }
+}
+
+#[test]
+fn what_never_ends_is_refused_before_it_fills_the_memory() {
+    let long = vec![b'1'; 2 * MAX_VALUE];
+    let with = |start: &[u8]| [start, &long].concat();
+    assert!(fed(&with(b"*1\r\n$"), &[], resp::next_command).is_err(), "a length without end");
+    assert!(fed(&with(b"*2\r\n$65536\r\n"), &[], resp::next_command).is_err(), "words without end");
+    assert!(fed(&with(b"-"), &[], resp::next_answer).is_err(), "a line without end");
+    assert!(http(&with(b"HTTP/1.1 200 OK\r\nA: "), &[]).is_err(), "a header without end");
+    assert!(http(b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", &[]).is_err(), "a body too long");
+    let chunks = with(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1ffff\r\n");
+    assert!(http(&chunks, &[]).is_err(), "chunks beyond the longest value");
+    assert!(http(b"HTTP/1.1 200 OK\r\n\r\n", &[]).is_err(), "no stated end");
+    assert!(http(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", &[]).is_err());
+    let line = vec![b'x'; discovery::MAX_LIST + 1];
+    assert!(fed(&line, &[], discovery::next_line).is_err(), "a line without end");
+}
--- /dev/null
+++ b/tests/platform/mod.rs
@@ -0,0 +1,341 @@
+//! A scripted platform: peers, an origin and discovery that do what a test says, and the program between them.
+//!
+//! Nothing sleeps: a test waits for what happens, and `PATIENCE` only ends one that waits for ever.
+#![allow(dead_code)]
+
+use bytes::BytesMut;
+use serde_json::{Value, json};
+use spindlebeam::proto::resp::next_command;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Something that happened at a peer.
+pub enum Seen {
+    /// A request, and the connection to answer it on.
+    Asked(Asked),
+    /// The balancer closed a connection.
+    Closed,
+}
+
+pub struct Asked {
+    pub words: Vec<String>,
+    stream: TcpStream,
+}
+
+impl Asked {
+    pub fn answer(mut self, bytes: &str) {
+        self.stream.write_all(bytes.as_bytes()).unwrap();
+    }
+    pub fn value(self, value: &str) {
+        self.answer(&format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()));
+    }
+    pub fn miss(self) {
+        self.answer("*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
+    }
+    pub fn http(self, head: &str, body: &str) {
+        self.answer(&format!("HTTP/1.1 {head}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+    /// Ends the connection without an answer.
+    pub fn hang_up(self) {
+        self.stream.shutdown(Shutdown::Both).unwrap();
+    }
+}
+
+pub struct Peer {
+    pub addr: SocketAddr,
+    seen: Receiver<Seen>,
+}
+
+impl Peer {
+    pub fn start(http: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (sender, seen) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let sender = sender.clone();
+                thread::spawn(move || attend(stream, http, &sender));
+            }
+        });
+        Self { addr, seen }
+    }
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(PATIENCE).expect("the peer hears of something")
+    }
+    /// The next request; connections that end before it are passed over.
+    pub fn asked(&self) -> Asked {
+        loop {
+            if let Seen::Asked(asked) = self.next() {
+                return asked;
+            }
+        }
+    }
+    pub fn closed(&self) -> bool {
+        matches!(self.next(), Seen::Closed)
+    }
+    pub fn heard_of_nothing_more(&self) -> bool {
+        !self.seen.try_iter().any(|seen| matches!(seen, Seen::Asked(_)))
+    }
+}
+
+fn attend(mut stream: TcpStream, http: bool, sender: &Sender<Seen>) {
+    let mut buffer = BytesMut::new();
+    loop {
+        let whole = if http { http_request(&mut buffer) } else { resp_request(&mut buffer) };
+        if let Some(words) = whole {
+            let stream = stream.try_clone().unwrap();
+            let _ = sender.send(Seen::Asked(Asked { words, stream }));
+            continue;
+        }
+        let mut chunk = [0; 4096];
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 => buffer.extend_from_slice(&chunk[..n]),
+            _ => break,
+        }
+    }
+    let _ = sender.send(Seen::Closed);
+}
+
+fn resp_request(buffer: &mut BytesMut) -> Option<Vec<String>> {
+    let command = next_command(buffer).expect("the balancer writes commands")?;
+    Some(command.0.iter().map(|word| String::from_utf8(word.to_vec()).unwrap()).collect())
+}
+
+/// The lines of the head, then the body.
+fn http_request(buffer: &mut BytesMut) -> Option<Vec<String>> {
+    let text = String::from_utf8(buffer.to_vec()).unwrap();
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+    let length = length.map_or(0, |n| n.parse().unwrap());
+    let body = rest.get(..length)?;
+    let mut words: Vec<String> = head.lines().map(str::to_owned).collect();
+    words.push(body.to_owned());
+    let _ = buffer.split_to(head.len() + 4 + length);
+    Some(words)
+}
+
+/// Discovery: answers with its list, then watches say what the test pushes.
+pub struct Discovery {
+    pub addr: SocketAddr,
+    pub paths: Receiver<String>,
+    watches: Receiver<TcpStream>,
+}
+
+impl Discovery {
+    pub fn start(list: Value) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let ((path_sender, paths), (watch_sender, watches)) = (channel(), channel());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let mut line = String::new();
+                let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut line);
+                let path = line.split(' ').nth(1).unwrap_or_default().to_owned();
+                if path.contains("watch") {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    let _ = watch_sender.send(stream);
+                } else {
+                    let body = list.to_string();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                    let _ = stream.write_all((head + &body).as_bytes());
+                }
+                let _ = path_sender.send(path);
+            }
+        });
+        Self { addr, paths, watches }
+    }
+    pub fn watch(&self) -> TcpStream {
+        self.watches.recv_timeout(PATIENCE).expect("the balancer watches")
+    }
+}
+
+/// Writes a line to a watch, as one chunk.
+pub fn push(watch: &mut TcpStream, line: &str) {
+    write!(watch, "{:x}\r\n{line}\n\r\n", line.len() + 1).unwrap();
+}
+
+pub fn member(id: &str, addr: SocketAddr, phase: &str) -> Value {
+    let flavor = if id == "origin" { "origin" } else { "m" };
+    json!({"id": id, "host_port": addr.to_string(), "locality": "a", "flavor": flavor, "cell": 0,
+           "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+pub fn list(revision: u64, complete: bool, members: &[Value]) -> Value {
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+/// Classes `leer` (safe), `alta` (keyed) and `folio` (fragile) with times that no test reaches, and `prisa`,
+/// whose first try is cut short early.
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str, aim: u64| {
+        json!({"name": name, "effect": effect, "keyScope": "all", "memorySpanUs": 4_000_000, "worth": 1.0,
+               "lateWorth": 0.0, "onTimeUs": aim, "deadlineUs": 60_000_000})
+    };
+    json!({
+        "me": 0, "siblings": 1, "dcs": ["a"], "locality": 0, "hostTypes": ["m", "origin"],
+        "specifics": {"mode": "aside", "originKind": 1},
+        "permissions": {"maxAttempts": 5, "cancel": true, "retryAfter": true, "maxRetryAfterUs": 1_000_000,
+                        "secondCopies": false, "dialTimeoutUs": 1_000_000, "connIdleUs": 60_000_000},
+        "profiles": [class("leer", "retryable", 50_000_000), class("alta", "dedup", 50_000_000),
+                     class("folio", "fragile", 50_000_000), class("prisa", "retryable", 300_000)],
+        "tenants": [{"name": "acme", "quotaPerS": 1000.0, "share": 1.0}],
+        "discovery": "push", "weights": "nominal"
+    })
+}
+
+pub fn config(discovery: SocketAddr, sockets: u64, known: Value) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+           "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+           "known": known, "settings": settings()})
+}
+
+/// The program, ended with the test.
+pub struct Balancer {
+    child: Child,
+    log: Receiver<String>,
+    pub addr: SocketAddr,
+}
+
+/// Starts the program with a configuration of its own.
+pub fn spawn(config: &str) -> Child {
+    static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}.json", std::process::id()));
+    std::fs::write(&file, config).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_spindlebeam"))
+        .args(["serve", "--config", file.to_str().unwrap()])
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+impl Balancer {
+    pub fn start(config: &Value) -> Self {
+        let mut child = spawn(&config.to_string());
+        let (sender, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        let mut it = Self { child, log, addr: "127.0.0.1:0".parse().unwrap() };
+        let line = it.logged("listening on ");
+        it.addr = line.rsplit(' ').next().unwrap().parse().unwrap();
+        it
+    }
+    /// Waits for a line of the log.
+    pub fn logged(&self, part: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no line with {part:?}"));
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+    pub fn terminate(&self) {
+        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(kill.unwrap().success());
+    }
+    pub fn exit(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client(BufReader::new(stream))
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn send(&mut self, words: &[&str]) {
+        let mut bytes = BytesMut::new();
+        let words: Vec<&[u8]> = words.iter().map(|word| word.as_bytes()).collect();
+        spindlebeam::proto::resp::put_command(&mut bytes, &words);
+        self.raw(&bytes);
+    }
+    pub fn raw(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).unwrap();
+    }
+    /// A line of an answer, or a whole bulk string; empty when the connection has ended.
+    pub fn answer(&mut self) -> String {
+        let mut line = String::new();
+        if self.0.read_line(&mut line).is_err() {
+            return String::new();
+        }
+        if let Some(len) = line.strip_prefix('$') {
+            let mut body = vec![0; len.trim().parse::<usize>().unwrap() + 2];
+            self.0.read_exact(&mut body).unwrap();
+            return String::from_utf8(body).unwrap().trim_end().to_owned();
+        }
+        line.trim_end().to_owned()
+    }
+    pub fn get(&mut self, class: &str, key: &str) {
+        self.send(&["CACHE.GET", key, "9b1f03aa5c7e2d41", &format!("c={class},t=acme,d=60000")]);
+    }
+    pub fn set(&mut self, class: &str, value: &str) {
+        self.send(&["CACHE.SET", "7f", "9b1f", &format!("c={class},t=acme,d=60000,k=5c0f"), value]);
+    }
+    pub fn ended(&mut self) -> bool {
+        self.answer().is_empty()
+    }
+}
+
+/// A balancer with this many peers, and an origin.
+pub struct Platform {
+    pub peers: Vec<Peer>,
+    pub origin: Peer,
+    pub discovery: Discovery,
+    pub watch: TcpStream,
+    pub balancer: Balancer,
+}
+
+impl Platform {
+    pub fn start(peers: usize, sockets: u64) -> Self {
+        let peers: Vec<Peer> = (0..peers).map(|_| Peer::start(false)).collect();
+        let origin = Peer::start(true);
+        let mut members = vec![member("origin", origin.addr, "ready")];
+        members.extend(peers.iter().enumerate().map(|(i, p)| member(&format!("s-{i}"), p.addr, "ready")));
+        let discovery = Discovery::start(list(1, true, &members));
+        let balancer = Balancer::start(&config(discovery.addr, sockets, Value::Null));
+        let watch = discovery.watch();
+        balancer.logged("ready");
+        Self { peers, origin, discovery, watch, balancer }
+    }
+    /// A key whose first server is this peer, found by asking; all keys tried are answered.
+    pub fn key_of(&self, peer: usize) -> String {
+        let mut client = self.balancer.client();
+        (1..)
+            .map(|n: u64| format!("{n:x}"))
+            .find(|key| {
+                client.get("leer", key);
+                let found = loop {
+                    let heard = self.peers.iter().map(|p| p.seen.try_recv()).enumerate();
+                    let mut asked = heard.filter_map(|(i, seen)| match seen {
+                        Ok(Seen::Asked(asked)) => Some((i, asked)),
+                        _ => None,
+                    });
+                    if let Some(found) = asked.next() {
+                        break found;
+                    }
+                    thread::yield_now();
+                };
+                found.1.value("x");
+                client.answer() == "x" && found.0 == peer
+            })
+            .unwrap()
+    }
+}
