--- a/src/engine.rs
+++ b/src/engine.rs
@@ -194,9 +194,8 @@
                 }
                 _ = sweep.tick() => self.pools.sweep(),
                 _ = report.tick() => {
-                    let (open, dialled, reused) = self.pools.counts();
-                    let requests = self.contexts.len();
-                    log::info!("{requests} requests open; peers: {open} open, {dialled} dialled, {reused} reused");
+                    let (open, so_far) = self.pools.counts();
+                    log::info!("{} requests open; {open} connections open; so far {so_far:?}", self.contexts.len());
                 }
                 () = &mut first_list, if !self.handle.ready() => {
                     log::warn!("discovery: silent; starting with the list known before");
@@ -272,9 +271,7 @@
     }
 
     fn try_ended(&mut self, id: RequestId, attempt: u16, peer: &Peer, sent: Instant, ended: Ended) {
-        if let Some(connection) = ended.connection.filter(|_| peer.ready()) {
-            self.pools.put(peer, connection);
-        }
+        self.pools.put(peer, ended.connection);
         // A cancelled try outlives its request; the module still counts it as in flight until told.
         if let Some(context) = self.contexts.get_mut(&id) {
             context.out.retain(|(n, _)| *n != attempt);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -61,15 +61,31 @@
     idle: FxHashMap<ServerId, Vec<(Instant, Connection)>>,
     open: Rc<Cell<usize>>,
     bounds: Bounds,
-    dialled: u64,
-    reused: u64,
+    counts: Counts,
+}
+
+/// What has become of connections since the start.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Counts {
+    /// Dialled to peers.
+    pub dialled: u64,
+    /// Dialled to the origin.
+    pub dialled_origin: u64,
+    /// Tries that used an idle one.
+    pub reused: u64,
+    /// Idle ones found ended by the other side, or idle for too long.
+    pub retired: u64,
+    /// Idle ones closed because the module or the list said so.
+    pub closed: u64,
+    /// Given up with the try on them.
+    pub spent: u64,
 }
 
 impl Pools {
     /// Empty pools.
     #[must_use]
     pub fn new(bounds: Bounds) -> Self {
-        Self { idle: FxHashMap::default(), open: Rc::default(), bounds, dialled: 0, reused: 0 }
+        Self { idle: FxHashMap::default(), open: Rc::default(), bounds, counts: Counts::default() }
     }
 
     /// A connection for a try: the one used last, or a new one.
@@ -77,15 +93,17 @@
         let idle = self.idle.entry(peer.id).or_default();
         while let Some((since, connection)) = idle.pop() {
             if since.elapsed() < self.bounds.idle && connection.quiet() {
-                self.reused += 1;
+                self.counts.reused += 1;
                 return Line::Open(connection);
             }
+            self.counts.retired += 1;
         }
         if self.open.get() >= self.bounds.peers && !self.close_oldest() {
             return Line::None;
         }
         self.open.set(self.open.get() + 1);
-        self.dialled += 1;
+        let dialled = if peer.origin { &mut self.counts.dialled_origin } else { &mut self.counts.dialled };
+        *dialled += 1;
         Line::Dial(DialPlace(Place(self.open.clone())))
     }
 
@@ -95,28 +113,34 @@
         oldest.map(|idle| idle.remove(0)).is_some()
     }
 
-    /// Takes back a connection after a whole answer.
-    pub fn put(&mut self, peer: &Peer, connection: Connection) {
+    /// Takes back the connection of a try that had a whole answer; one that is not given back was spent.
+    pub fn put(&mut self, peer: &Peer, connection: Option<Connection>) {
+        let Some(connection) = connection.filter(|_| peer.ready()) else {
+            self.counts.spent += 1;
+            return;
+        };
         self.idle.entry(peer.id).or_default().push((Instant::now(), connection));
     }
 
     /// Closes a peer's idle connections.
     pub fn close_idle(&mut self, id: ServerId) {
-        self.idle.remove(&id);
+        self.counts.closed += self.idle.remove(&id).map_or(0, |idle| idle.len() as u64);
     }
 
     /// Closes connections that were idle too long or that their peer has ended.
     pub fn sweep(&mut self) {
-        let keep = self.bounds.idle;
+        let (keep, retired) = (self.bounds.idle, &mut self.counts.retired);
         self.idle.retain(|_, idle| {
+            let before = idle.len();
             idle.retain(|(since, connection)| since.elapsed() < keep && connection.quiet());
+            *retired += (before - idle.len()) as u64;
             !idle.is_empty()
         });
     }
 
-    /// Connections open now, dialled so far, and reused so far.
+    /// Connections open now, and what has become of all so far.
     #[must_use]
-    pub fn counts(&self) -> (usize, u64, u64) {
-        (self.open.get(), self.dialled, self.reused)
+    pub fn counts(&self) -> (usize, Counts) {
+        (self.open.get(), self.counts)
     }
 }
