--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -319,3 +319,17 @@
     assert!(good > 2 * none, "good {good}, no outcomes {none}");
     assert!(2 * bad < none, "failing {bad}, no outcomes {none}: refusals alone cut nothing");
 }
+
+#[test]
+fn the_origins_connections_are_kept_after_one_bad_fetch_but_not_while_it_fails() {
+    // Found on real sockets: one late fetch had each of the next ten dial anew, half of all connections.
+    let mut rig = Rig::new(settings(), 1, 3);
+    let mut closed = |id: u64, outcome| {
+        rig.now += 500 * MS;
+        rig.ask(request(id, 0, 100 + id));
+        assert_eq!(sends(&rig.end(id, 0, Outcome::Miss)), [ORIGIN]);
+        rig.end(id, 1, outcome).iter().any(|a| matches!(a, Action::CloseIdle(ServerId(ORIGIN))))
+    };
+    assert!(!closed(1, Outcome::Error) && !closed(2, Outcome::Ok), "one bad fetch says little");
+    assert!(closed(3, Outcome::Error) && closed(4, Outcome::Error), "a run of them does");
+}
