--- a/src/engine.rs
+++ b/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::call::{Answer, Call};
 use crate::config::{Bounds, Config};
 use crate::decide::Router;
-use crate::peer::{Ended, Pools, Try};
+use crate::peer::{self, Connection, Ended, Pools, Try};
 use crate::proto::discovery::List;
 use crate::upstream_group::{Peer, UpstreamGroup};
 use rustc_hash::FxHashMap;
@@ -47,6 +47,7 @@
     Arrived(RequestId, Incoming, oneshot::Sender<Answer>),
     Left(RequestId),
     TryEnded { id: RequestId, attempt: u16, peer: Rc<Peer>, sent: Instant, ended: Ended },
+    Dialled(Rc<Peer>, Option<Connection>),
     Told(List),
 }
 
@@ -222,6 +223,7 @@
             Input::TryEnded { id, attempt, peer, sent, ended } => {
                 self.try_ended(id, attempt, &peer, sent, ended)
             }
+            Input::Dialled(peer, connection) => self.pools.put(&peer, connection),
             Input::Told(list) => {
                 self.told(&list, false);
                 self.become_ready();
@@ -270,8 +272,11 @@
         self.events.push_back(Event::Request(request));
     }
 
-    fn try_ended(&mut self, id: RequestId, attempt: u16, peer: &Peer, sent: Instant, ended: Ended) {
+    fn try_ended(&mut self, id: RequestId, attempt: u16, peer: &Rc<Peer>, sent: Instant, ended: Ended) {
         self.pools.put(peer, ended.connection);
+        if matches!(ended.outcome, Outcome::Timeout | Outcome::Cancelled) {
+            self.dial_ahead(peer);
+        }
         // A cancelled try outlives its request; the module still counts it as in flight until told.
         if let Some(context) = self.contexts.get_mut(&id) {
             context.out.retain(|(n, _)| *n != attempt);
@@ -291,6 +296,15 @@
         self.forget(id);
     }
 
+    fn dial_ahead(&mut self, peer: &Rc<Peer>) {
+        let Some(place) = self.pools.ahead(peer) else { return };
+        let (peer, time, inputs) = (peer.clone(), self.bounds.dial, self.handle.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let connection = peer::dial(place, &peer, time).await;
+            let _ = inputs.send(Input::Dialled(peer, connection));
+        });
+    }
+
     /// Guards the rule that none is lost against a request that the module forgot: found by nothing so far.
     fn overdue(&mut self, id: RequestId) {
         if self.contexts.get(&id).is_some_and(|context| context.answer.is_some()) {
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -1,6 +1,6 @@
 //! One try: dial if need be, write the request, read the answer, within its time.
 
-use super::{Connection, Line};
+use super::{Connection, DialPlace, Line};
 use crate::api::Outcome;
 use crate::call::Call;
 use crate::proto::http::{self, Whole};
@@ -99,26 +99,30 @@
     }
 }
 
-async fn open(line: Line, peer: &Peer, dial: Duration) -> Result<Connection, Outcome> {
-    let place = match line {
-        Line::Open(connection) => return Ok(connection),
-        Line::Dial(place) => place.0,
+async fn open(line: Line, peer: &Peer, time: Duration) -> Result<Connection, Outcome> {
+    match line {
+        Line::Open(connection) => Ok(connection),
+        Line::Dial(place) => dial(place, peer, time).await.ok_or(Outcome::ConnectFailed),
         Line::None => {
             // Our own limit, never sent: it says nothing of the peer's health.
             log::warn!("peer {}: no connection to spare", peer.name);
-            return Err(Outcome::Full);
+            Err(Outcome::Full)
         }
-    };
-    match timeout(dial, TcpStream::connect(peer.addr)).await {
+    }
+}
+
+/// Opens a connection within `time`.
+pub async fn dial(place: DialPlace, peer: &Peer, time: Duration) -> Option<Connection> {
+    match timeout(time, TcpStream::connect(peer.addr)).await {
         Ok(Ok(stream)) => {
-            stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-            Ok(Connection { stream, buffer: BytesMut::new(), _place: place })
+            stream.set_nodelay(true).ok()?;
+            Some(Connection { stream, buffer: BytesMut::new(), _place: place.0 })
         }
         Ok(Err(error)) => {
             log::debug!("peer {}: dialling: {error}", peer.name);
-            Err(Outcome::ConnectFailed)
+            None
         }
-        Err(_) => Err(Outcome::ConnectFailed),
+        Err(_) => None,
     }
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,7 +6,7 @@
 use crate::config::Bounds;
 use crate::upstream_group::Peer;
 use bytes::BytesMut;
-pub use exchange::{Ended, Try};
+pub use exchange::{Ended, Try, dial};
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -107,13 +107,24 @@
         Line::Dial(DialPlace(Place(self.open.clone())))
     }
 
+    /// Permission to dial ahead for a peer that has lost its last connection with the try on it: its next try will
+    /// need one anyway, and must not wait for the handshake as well.
+    pub fn ahead(&mut self, peer: &Peer) -> Option<DialPlace> {
+        let bare = self.idle.get(&peer.id).is_none_or(Vec::is_empty);
+        let spare = 2 * self.open.get() < self.bounds.peers; // never at the cost of connections in use
+        match (bare && spare && peer.ready()).then(|| self.line(peer)) {
+            Some(Line::Dial(place)) => Some(place),
+            _ => None,
+        }
+    }
+
     /// Makes room below the descriptor limit.
     fn close_oldest(&mut self) -> bool {
         let oldest = self.idle.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| idle[0].0);
         oldest.map(|idle| idle.remove(0)).is_some()
     }
 
-    /// Takes back the connection of a try that had a whole answer; one that is not given back was spent.
+    /// Takes in a connection that is free; none when it was spent with the try on it, or could not be dialled.
     pub fn put(&mut self, peer: &Peer, connection: Option<Connection>) {
         let Some(connection) = connection.filter(|_| peer.ready()) else {
             self.counts.spent += 1;
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -51,6 +51,7 @@
 pub struct Peer {
     pub addr: SocketAddr,
     seen: Receiver<Seen>,
+    opened: Receiver<()>,
 }
 
 impl Peer {
@@ -58,13 +59,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let (sender, seen) = channel();
+        let (opening, opened) = channel();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                let _ = opening.send(());
                 let sender = sender.clone();
                 thread::spawn(move || attend(stream, http, &sender));
             }
         });
-        Self { addr, seen }
+        Self { addr, seen, opened }
     }
     pub fn next(&self) -> Seen {
         self.seen.recv_timeout(PATIENCE).expect("the peer hears of something")
@@ -77,6 +80,10 @@
             }
         }
     }
+    /// Waits for a further connection.
+    pub fn opened(&self) -> bool {
+        self.opened.recv_timeout(PATIENCE).is_ok()
+    }
     pub fn closed(&self) -> bool {
         matches!(self.next(), Seen::Closed)
     }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -116,6 +116,11 @@
     p.peers[1].asked().value("v");
     assert_eq!(client.answer(), "v");
     assert!(p.peers[0].closed(), "no try of the request is out any more");
+    // The connection spent is replaced before the next request needs it.
+    assert!(p.peers[0].opened() && p.peers[0].opened());
+    client.get("leer", &key);
+    p.peers[0].asked().value("w");
+    assert_eq!(client.answer(), "w");
 }
 
 #[test]
