--- a/src/engine.rs
+++ b/src/engine.rs
@@ -10,7 +10,7 @@
 use crate::decide::Router;
 use crate::peer::{self, Connection, Ended, Pools, Try};
 use crate::proto::discovery::List;
-use crate::upstream_group::{Peer, UpstreamGroup};
+use crate::upstream_group::{Peer, UpstreamGroup, server_id};
 use rustc_hash::FxHashMap;
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -227,6 +227,7 @@
             Input::Told(list) => {
                 self.told(&list, false);
                 self.become_ready();
+                self.dial_listed(&list);
             }
         }
     }
@@ -296,6 +297,15 @@
         self.forget(id);
     }
 
+    /// The first try at a peer that was just listed must not wait for a handshake either.
+    fn dial_listed(&mut self, list: &List) {
+        for member in &list.members {
+            if let Some(peer) = self.group.peer(server_id(&member.id)).cloned() {
+                self.dial_ahead(&peer);
+            }
+        }
+    }
+
     fn dial_ahead(&mut self, peer: &Rc<Peer>) {
         let Some(place) = self.pools.ahead(peer) else { return };
         let (peer, time, inputs) = (peer.clone(), self.bounds.dial, self.handle.inputs.clone());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,10 @@
-//! Decisions of a router in front of a fleet of cache servers, as a sans-IO state machine.
+//! A balancer in front of a fleet of cache nodes and their origin.
 //!
+//! [`serve`] is the program on real sockets: a front ([`front`]) submits requests to the core ([`engine`]), which
+//! asks the decision module and sends tries to peers ([`peer`]) that discovery lists ([`upstream_group`]). The
+//! protocols ([`proto`]) know no socket. [`wire`] is the codec of the simulator's adapter.
+//!
+//! The decisions ([`decide`]) are a sans-IO state machine that both programs share.
 //! The caller owns the clock and all input and output: it hands [`api::Event`]s to a [`decide::Router`] and
 //! carries out the [`api::Action`]s it gets back.
 //!
--- /dev/null
+++ b/tests/start.rs
@@ -0,0 +1,84 @@
+//! What the program is told: its configuration and discovery's lists, as the decision module gets them.
+
+use serde_json::json;
+use spindlebeam::api::*;
+use spindlebeam::config::{Config, Names};
+use spindlebeam::proto::discovery::{List, list};
+use spindlebeam::upstream_group::{UpstreamGroup, server_id};
+use std::time::Duration;
+
+#[test]
+fn nested_settings_reach_the_module_by_the_same_paths() {
+    let class = json!({"name": "alta", "effect": "dedup", "keyScope": "all", "memorySpanUs": 4_000_000,
+                       "onTimeUs": 500_000.0, "deadlineUs": 1_000_000, "worth": 5.0, "lateWorth": 0.25});
+    let text = json!({
+        "name": "n3", "listen": "127.0.0.4:6379", "discovery": "127.0.0.5:8500", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "peers": [],
+        "settings": {
+            "siblings": 4, "dcs": ["a", "b"], "locality": 1, "hostTypes": ["m", "origin"], "profiles": [class],
+            "tenants": [{"name": "valle alto", "quotaPerS": 30.0}], "weights": "nominal",
+            "specifics": {"mode": "aside", "originKind": 1},
+            "permissions": {"maxAttempts": 5, "retryAfter": true, "maxRetryAfterUs": 1_000_000,
+                            "connIdleUs": 10_000_000, "dialTimeoutUs": 100_000, "maxOpen": 20_000},
+        },
+    });
+    let config = Config::parse(text.to_string().as_bytes()).unwrap();
+    let settings = &config.settings;
+    assert_eq!((settings.siblings, settings.zone, settings.zones), (4, ZoneId(1), 2));
+    assert_eq!((settings.origin_kind, settings.max_attempts, settings.weights_last), (Some(1), 5, true));
+    assert_eq!(settings.max_hold_off_us, 1_000_000);
+    let effect = Effect::Dedup { scope: Scope::All, span_us: 4_000_000 };
+    let expected = Class { aim_us: 500_000, deadline_us: 1_000_000, worth: 5.0, late_worth: 0.25, effect };
+    assert_eq!((&settings.classes[..], settings.tenants[0].quota_per_s), (&[expected][..], 30.0));
+    assert_eq!((&config.names.classes[0][..], &config.names.kinds[1][..]), ("alta", "origin"));
+    assert_eq!((config.seed, config.bounds.dial), (0x8c1f_30d2_7a5b_e964, Duration::from_millis(100)));
+    assert!(config.bounds.idle < Duration::from_secs(10), "retired before the peers' own limit");
+    assert!(config.bounds.clients + config.bounds.peers < 1024, "some descriptors are kept back");
+}
+
+#[test]
+fn a_peers_number_is_a_stable_hash_of_its_id() {
+    // FNV-1a as published: balancers of another build must rank keys alike.
+    assert_eq!(server_id(""), ServerId(0xcbf2_9ce4_8422_2325));
+    assert_eq!(server_id("a"), ServerId(0xaf63_dc4c_8601_ec8c));
+}
+
+fn read(revision: u64, complete: bool, members: &[(&str, &str, u64)]) -> List {
+    let members: Vec<_> = members
+        .iter()
+        .map(|(id, phase, since)| {
+            json!({"id": id, "host_port": "127.0.0.1:6379", "locality": "b", "flavor": "m2", "cell": 3,
+                   "phase": phase, "size": 0.0, "up_since_ms": since})
+        })
+        .collect();
+    list(json!({"revision": revision, "complete": complete, "members": members}).to_string().as_bytes())
+        .unwrap()
+}
+
+#[test]
+fn lists_become_the_modules_entries_and_void_idle_connections() {
+    let names = |all: &[&str]| all.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+    let names = Names { zones: names(&["a", "b"]), kinds: names(&["m1", "m2"]), ..Names::default() };
+    let mut group = UpstreamGroup::new(names, None);
+    let (kind, entries, stale) = group.apply(&read(1, true, &[("x", "ready", 5), ("y", "ready", 0)]), true);
+    assert_eq!((kind, stale), (ListKind::Cached, vec![]));
+    let expected = ServerEntry {
+        id: server_id("x"),
+        presence: Presence::Ready,
+        kind: 1,
+        weight: 1.0, // a size that compares with nothing counts as an ordinary one
+        cell: CellId(3),
+        zone: ZoneId(1),
+        online_since: 5_000,
+    };
+    assert_eq!(entries[0], expected);
+
+    let (kind, _, stale) = group.apply(&read(2, false, &[("x", "ready", 9), ("y", "draining", 0)]), false);
+    assert_eq!((kind, stale), (ListKind::Delta, vec![server_id("x"), server_id("y")]), "restarted; draining");
+    assert!(group.peer(server_id("x")).unwrap().ready() && !group.peer(server_id("y")).unwrap().ready());
+
+    let before = group.peer(server_id("x")).unwrap().clone();
+    let (kind, _, stale) = group.apply(&read(3, true, &[("y", "ready", 0)]), false);
+    assert_eq!((kind, stale), (ListKind::Full, vec![server_id("x")]), "what a whole list lacks is gone");
+    assert!(!before.ready() && group.peer(server_id("x")).is_none(), "also for a try that still dials it");
+}
