End the program when its core stops; test places for commands and the bound on memory

Seen by reading: a panic in the engine's task would have left a process that accepts, answers every request with a failure and looks alive (serve.rs run(), spawn_local without a look at the handle). Now serve ends with one line and a non-zero code, so that a supervisor can restart it. No change to what is served.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::engine::Engine;
 use crate::front::Front;
 use crate::upstream_group;
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail};
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
@@ -37,14 +37,18 @@
 
     let (engine, handle) = Engine::new(&config);
     let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
-    tokio::task::spawn_local(engine.run());
-    tokio::task::spawn_local(upstream_group::follow(config.discovery, move |list| handle.told(list)));
+    let core = tokio::task::spawn_local(engine.run());
+    let watch =
+        tokio::task::spawn_local(upstream_group::follow(config.discovery, move |list| handle.told(list)));
     let (stop, stopped) = oneshot::channel();
     let accepting = tokio::task::spawn_local(front.clone().accept(listener, stopped));
 
     tokio::select! {
         _ = terminate.recv() => log::info!("SIGTERM: winding down"),
         _ = interrupt.recv() => log::info!("SIGINT: winding down"),
+        // Neither ever returns: without them the program would go on refusing, and look alive.
+        ended = core => bail!("the core has stopped: {ended:?}"),
+        ended = watch => bail!("the watch of discovery has stopped: {ended:?}"),
     }
     sleep(STILL_ACCEPTING).await;
     let _ = stop.send(());
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -317,16 +317,18 @@
 
 impl Platform {
     pub fn start(peers: usize) -> Self {
-        Self::limited(peers, 1024, 1024)
+        Self::limited(peers, 192, 1024, 1024)
     }
-    /// With other limits of descriptors: those it is told of, and those the system enforces.
-    pub fn limited(peers: usize, sockets: u64, descriptors: u32) -> Self {
+    /// With other limits: memory and descriptors as it is told of them, and descriptors as the system enforces.
+    pub fn limited(peers: usize, memory_mb: u64, sockets: u64, descriptors: u32) -> Self {
         let peers: Vec<Peer> = (0..peers).map(|_| Peer::start(false)).collect();
         let origin = Peer::start(true);
         let mut members = vec![member("origin", origin.addr, "ready")];
         members.extend(peers.iter().enumerate().map(|(i, p)| member(&format!("s-{i}"), p.addr, "ready")));
         let discovery = Discovery::start(list(1, true, &members));
-        let balancer = Balancer::start(&config(discovery.addr, sockets, Value::Null), descriptors);
+        let mut config = config(discovery.addr, sockets, Value::Null);
+        config["limits"]["memory_mb"] = memory_mb.into();
+        let balancer = Balancer::start(&config, descriptors);
         let watch = discovery.watch();
         balancer.logged("ready");
         assert!(
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -148,6 +148,31 @@
     assert_eq!([client.answer(), client.answer(), client.answer()], ["uno", "dos", "+PONG"]);
 }
 
+#[test]
+fn a_command_that_waited_for_a_place_is_taken_as_soon_as_one_is_free() {
+    // Found by reading: what had been read beyond the places was taken up only when all were empty.
+    let p = Platform::start(1);
+    let mut client = p.balancer.client();
+    (0..33).for_each(|n| client.set("alta", &n.to_string()));
+    let mut asked: Vec<Asked> = (0..32).map(|_| p.origin.asked()).collect();
+    let first = asked.iter().position(|put| put.words.last().unwrap() == "0").unwrap();
+    asked.swap_remove(first).http("200 OK", "recibo");
+    assert_eq!(p.origin.asked().words.last().unwrap(), "32", "with 31 still waiting");
+    assert_eq!(client.answer(), "recibo");
+}
+
+#[test]
+fn requests_that_would_not_fit_into_the_memory_are_refused() {
+    let p = Platform::limited(1, 2, 1024, 1024); // a third of 2 MiB holds ten of the longest answers
+    let mut client = p.balancer.client();
+    (0..12).for_each(|_| client.set("alta", "x"));
+    let asked: Vec<Asked> = (0..10).map(|_| p.origin.asked()).collect();
+    asked.into_iter().for_each(|put| put.http("200 OK", "recibo"));
+    (0..10).for_each(|_| assert_eq!(client.answer(), "recibo"));
+    assert_eq!([client.answer(), client.answer()], ["-BUSY", "-BUSY"]);
+    assert!(p.origin.heard_of_nothing_more());
+}
+
 #[test]
 fn nothing_new_goes_to_a_peer_that_drains_and_what_it_has_is_served() {
     let mut p = Platform::start(2);
@@ -247,7 +272,7 @@
 fn more_clients_than_places_are_all_answered_at_the_cost_of_idle_ones() {
     // 32 places for clients; and then fewer descriptors than the program was told of, so that accepting fails.
     for (sockets, descriptors) in [(64 + 64, 1024), (1024, 40)] {
-        let p = Platform::limited(1, sockets, descriptors);
+        let p = Platform::limited(1, 192, sockets, descriptors);
         let mut clients: Vec<Client> = Vec::new();
         for _ in 0..100 {
             let mut client = p.balancer.client();
