Reread the configuration on SIGHUP and move the watch of discovery

Checked: no handler was registered anywhere (src/serve.rs installed SIGTERM and SIGINT alone), so the signal's default acted. follow() in src/upstream_group.rs took one address for good. Ruled out: the agent itself; the new one gave its list within 10 ms in every log. Changed: src/reload.rs rereads the file; the watch moves through a channel and begins with a whole list; a file that cannot be used changes nothing; what needs a restart is logged. Tests: a move under an open request, a broken file, a new agent that stays silent.

--- a/src/config.rs
+++ b/src/config.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 /// Descriptors kept back for the listener, discovery, the logs and the runtime.
@@ -51,7 +52,7 @@
 }
 
 /// Names, each at the place that is its number in the module.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Names {
     /// Classes.
     pub classes: Vec<String>,
@@ -64,7 +65,7 @@
 }
 
 /// Limits and times of connections.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
     /// Client connections held at a time.
     pub clients: usize,
@@ -120,6 +121,16 @@
 }
 
 impl Config {
+    /// Reads the file of the configuration.
+    ///
+    /// # Errors
+    /// When it is missing or cannot be used; the error names it and says why.
+    pub fn read(file: &Path) -> Result<Self> {
+        let named = || format!("configuration {}", file.display());
+        let json = std::fs::read(file).with_context(named)?;
+        Self::parse(&json).with_context(named)
+    }
+
     /// Reads the configuration.
     ///
     /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod front;
 pub mod peer;
 pub mod proto;
+pub mod reload;
 pub mod serve;
 pub mod settings;
 mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,7 +12,7 @@
 
 usage: spindlebeam COMMAND
 
-  serve          run the balancer until SIGTERM
+  serve          run the balancer until SIGTERM; SIGHUP rereads the configuration
   check-config   read the configuration and say whether it can be used
   version        print the version
   help           print this
@@ -44,9 +44,9 @@
         _ if help => println!("{HELP}"),
         Some("help") => println!("{HELP}"),
         Some("version") => println!("spindlebeam {}", env!("CARGO_PKG_VERSION")),
-        Some("serve") => serve::serve(configuration(file)?)?,
+        Some("serve") => serve::serve(&configuration(file)?)?,
         Some("check-config") => {
-            let config = configuration(file)?;
+            let config = Config::read(&configuration(file)?)?;
             let (classes, tenants) = (config.names.classes.len(), config.names.tenants.len());
             println!("{}: usable; {classes} classes, {tenants} tenants, {:?}", config.name, config.bounds);
         }
@@ -56,9 +56,7 @@
     Ok(())
 }
 
-fn configuration(file: Option<PathBuf>) -> Result<Config> {
+fn configuration(file: Option<PathBuf>) -> Result<PathBuf> {
     let from_env = || std::env::var_os("PROXY_CONFIG").map(PathBuf::from);
-    let file = file.or_else(from_env).context("no configuration: give --config or set PROXY_CONFIG")?;
-    let json = std::fs::read(&file).with_context(|| format!("configuration {}", file.display()))?;
-    Config::parse(&json).with_context(|| format!("configuration {}", file.display()))
+    file.or_else(from_env).context("no configuration: give --config or set PROXY_CONFIG")
 }
--- /dev/null
+++ b/src/reload.rs
@@ -0,0 +1,47 @@
+//! A new configuration while the program runs: SIGHUP, and what of the new file can be taken over.
+
+use crate::config::Config;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+
+/// Rereads the file at each signal, for ever, and moves the watch of discovery where the new one says.
+///
+/// Nothing here ends the program or touches a client: a file that cannot be used is logged and changes nothing.
+pub async fn follow(
+    mut hangup: Signal, file: PathBuf, mut running: Config, discovery: watch::Sender<SocketAddr>,
+) {
+    while hangup.recv().await.is_some() {
+        match Config::read(&file) {
+            Ok(new) => apply(&new, &mut running, &discovery),
+            Err(error) => log::error!("SIGHUP: {error:#}; the configuration in use stays"),
+        }
+    }
+    std::future::pending().await // signals can no longer come; the program serves on
+}
+
+fn apply(new: &Config, running: &mut Config, discovery: &watch::Sender<SocketAddr>) {
+    let later = needs_restart(running, new);
+    if !later.is_empty() {
+        log::warn!("SIGHUP: {} changed in the file; in use after a restart", later.join(", "));
+    }
+    // The address stays the same where only other things changed: its watch is sound and goes on.
+    let moved = discovery.send_if_modified(|addr| std::mem::replace(addr, new.discovery) != new.discovery);
+    running.discovery = new.discovery;
+    match moved {
+        true => log::info!("SIGHUP: discovery is now at {}", new.discovery),
+        false => log::info!("SIGHUP: discovery stays at {}", new.discovery),
+    }
+}
+
+/// What differs and cannot be changed in a running program. The seed and the list known before speak of starts.
+fn needs_restart(old: &Config, new: &Config) -> Vec<&'static str> {
+    let differs = [
+        ("name", old.name != new.name),
+        ("listen", old.listen != new.listen),
+        ("limits", old.bounds != new.bounds),
+        ("settings", old.settings != new.settings || old.names != new.names),
+    ];
+    differs.into_iter().filter_map(|(what, differs)| differs.then_some(what)).collect()
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -3,12 +3,14 @@
 use crate::config::Config;
 use crate::engine::Engine;
 use crate::front::Front;
+use crate::reload;
 use crate::upstream_group;
 use anyhow::{Context, Result, bail};
+use std::path::Path;
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
@@ -17,16 +19,19 @@
 /// What is left this long after the last deadline is not waited for.
 const LAST_CALL: Duration = Duration::from_millis(150);
 
-/// Serves until SIGTERM or SIGINT, and then until what was taken is answered.
+/// Serves as this file says until SIGTERM or SIGINT, and then until what was taken is answered.
 ///
 /// # Errors
-/// When the program cannot listen.
-pub fn serve(config: Config) -> Result<()> {
+/// When the file cannot be used, or the program cannot listen.
+pub fn serve(file: &Path) -> Result<()> {
+    let config = Config::read(file)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, file))
 }
 
-async fn run(config: Config) -> Result<()> {
+async fn run(config: Config, file: &Path) -> Result<()> {
+    // First of all, since its default would end the program.
+    let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let socket = TcpSocket::new_v4()?;
@@ -38,8 +43,11 @@
     let (engine, handle) = Engine::new(&config);
     let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
     let core = tokio::task::spawn_local(engine.run());
-    let watch =
-        tokio::task::spawn_local(upstream_group::follow(config.discovery, move |list| handle.told(list)));
+    let (discovery, found_at) = watch::channel(config.discovery);
+    let group = tokio::task::spawn_local(upstream_group::follow(found_at, move |list| handle.told(list)));
+    let (bounds, name) = (config.bounds, config.name.clone());
+    // Apart from what ends the program: a new configuration may come while it winds down.
+    let reload = tokio::task::spawn_local(reload::follow(hangup, file.to_owned(), config, discovery));
     let (stop, stopped) = oneshot::channel();
     let accepting = tokio::task::spawn_local(front.clone().accept(listener, stopped));
 
@@ -48,15 +56,16 @@
         _ = interrupt.recv() => log::info!("SIGINT: winding down"),
         // Neither ever returns: without them the program would go on refusing, and look alive.
         ended = core => bail!("the core has stopped: {ended:?}"),
-        ended = watch => bail!("the watch of discovery has stopped: {ended:?}"),
+        ended = group => bail!("the watch of discovery has stopped: {ended:?}"),
+        ended = reload => bail!("rereading the configuration has stopped: {ended:?}"),
     }
     sleep(STILL_ACCEPTING).await;
     let _ = stop.send(());
     let _ = accepting.await;
     front.closing.cancel();
-    if timeout(config.bounds.longest + LAST_CALL, front.emptied()).await.is_err() {
+    if timeout(bounds.longest + LAST_CALL, front.emptied()).await.is_err() {
         log::warn!("some client connections were still busy at the end");
     }
-    log::info!("{}: done", config.name);
+    log::info!("{name}: done");
     Ok(())
 }
--- a/src/upstream_group.rs
+++ b/src/upstream_group.rs
@@ -9,19 +9,24 @@
 use fnv::FnvHasher;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// A watch sends a line every 2 s; this much silence means that it is broken. What discovery has to tell counts
 /// as told after 6 s at the latest, so that a broken watch must be found, and begun again, sooner.
 const SILENCE: Duration = Duration::from_millis(4500);
-/// Waits between attempts to reach discovery: the first, and the longest.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// The agent is on this machine and replies at once, or is silent while discovery is down: a whole list that takes
+/// longer is asked for again. Guards a new agent's list, which counts as told 4 s after SIGHUP.
+const FIRST_ANSWER: Duration = Duration::from_secs(1);
+/// Waits between attempts to reach the agent: the first, and the longest. Asking costs it nothing.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 
 /// A peer or the origin, as last listed.
 #[derive(Debug)]
@@ -145,12 +150,24 @@
     }
 }
 
-/// Follows discovery for ever. A broken watch is begun again from the last revision; the list stays meanwhile.
-pub async fn follow(addr: SocketAddr, told: impl Fn(List)) {
+/// Follows discovery for ever, at the address named last. The list stays as it is until another one has come.
+pub async fn follow(mut found_at: watch::Receiver<SocketAddr>, told: impl Fn(List)) {
+    loop {
+        let addr = *found_at.borrow_and_update();
+        tokio::select! {
+            never = follow_at(addr, &told) => match never {},
+            Ok(()) = found_at.changed() => {}
+        }
+    }
+}
+
+/// Follows the agent at one address. A broken watch is begun again from the last revision. An agent at another
+/// address counts its own revisions, so that its first answer is a whole list.
+async fn follow_at(addr: SocketAddr, told: &impl Fn(List)) -> Infallible {
     let (mut revision, mut wait) = (None, BACKOFF.0);
     loop {
         let mut healthy = false;
-        match follow_once(addr, &mut revision, &mut healthy, &told).await {
+        match follow_once(addr, &mut revision, &mut healthy, told).await {
             Ok(never) => match never {},
             Err(error) => log::warn!("discovery: {error:#}; the list stays as it is"),
         }
@@ -167,22 +184,22 @@
     Ok(stream)
 }
 
-async fn read(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<()> {
-    let n = timeout(SILENCE, stream.read_buf(buffer)).await.context("silence")??;
+async fn read(stream: &mut TcpStream, buffer: &mut BytesMut, most: Duration) -> Result<()> {
+    let n = timeout(most, stream.read_buf(buffer)).await.context("silence")??;
     ensure!(n > 0, "the connection ended");
     Ok(())
 }
 
 async fn follow_once(
     addr: SocketAddr, revision: &mut Option<u64>, healthy: &mut bool, told: &impl Fn(List),
-) -> Result<std::convert::Infallible> {
+) -> Result<Infallible> {
     if revision.is_none() {
         let mut stream = dial(addr, "/v1/endpoints").await?;
         let (mut whole, mut buffer) = (Whole::new(MAX_LIST), BytesMut::new());
         let (head, body) = loop {
             match whole.next(&mut buffer)? {
                 Some(answer) => break answer,
-                None => read(&mut stream, &mut buffer).await?,
+                None => read(&mut stream, &mut buffer, FIRST_ANSWER).await?,
             }
         };
         ensure!(head.status == 200, "status {}", head.status);
@@ -196,7 +213,7 @@
     let (mut decoder, mut buffer, mut lines) = (Decoder::default(), BytesMut::new(), BytesMut::new());
     loop {
         match decoder.next(&mut buffer)? {
-            None => read(&mut stream, &mut buffer).await?,
+            None => read(&mut stream, &mut buffer, SILENCE).await?,
             Some(Piece::Head(head)) => ensure!(head.status == 200, "status {}", head.status),
             Some(Piece::End) => bail!("the watch ended"),
             Some(Piece::Data(part)) => {
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -8,7 +8,7 @@
 use spindlebeam::proto::resp::next_command;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
@@ -165,6 +165,9 @@
     pub fn watch(&self) -> TcpStream {
         self.watches.recv_timeout(PATIENCE).expect("the balancer watches")
     }
+    pub fn asked_for(&self) -> String {
+        self.paths.recv_timeout(PATIENCE).expect("the balancer asks")
+    }
 }
 
 /// Writes a line to a watch, as one chunk.
@@ -210,32 +213,34 @@
 /// The program, ended with the test.
 pub struct Balancer {
     child: Child,
+    file: PathBuf,
     log: Receiver<String>,
     pub addr: SocketAddr,
 }
 
 /// Starts the program with a configuration of its own.
-pub fn spawn(config: &str, descriptors: u32) -> Child {
+pub fn spawn(config: &str, descriptors: u32) -> (Child, PathBuf) {
     static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
-    Command::new("sh")
+    let child = Command::new("sh")
         .args(["-c", &format!("ulimit -S -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
         .args([env!("CARGO_BIN_EXE_spindlebeam"), file.to_str().unwrap()])
         .env("RUST_LOG", "info")
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap()
+        .unwrap();
+    (child, file)
 }
 
 impl Balancer {
     pub fn start(config: &Value, descriptors: u32) -> Self {
-        let mut child = spawn(&config.to_string(), descriptors);
+        let (mut child, file) = spawn(&config.to_string(), descriptors);
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut it = Self { child, log, addr: "127.0.0.1:0".parse().unwrap() };
+        let mut it = Self { child, file, log, addr: "127.0.0.1:0".parse().unwrap() };
         let line = it.logged("listening on ");
         it.addr = line.rsplit(' ').next().unwrap().parse().unwrap();
         it
@@ -250,7 +255,15 @@
         }
     }
     pub fn terminate(&self) {
-        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+    /// Replaces the configuration file, then tells the program so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).unwrap();
+        self.signal("-HUP");
+    }
+    fn signal(&self, signal: &str) {
+        let kill = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(kill.unwrap().success());
     }
     pub fn exit(&mut self) -> ExitStatus {
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -195,7 +195,7 @@
 #[test]
 fn a_malformed_line_of_discovery_restarts_the_watch_from_the_last_revision() {
     let mut p = Platform::start(1);
-    let paths = |n| (0..n).map(|_| p.discovery.paths.recv_timeout(PATIENCE).unwrap()).collect::<Vec<_>>();
+    let paths = |n| (0..n).map(|_| p.discovery.asked_for()).collect::<Vec<_>>();
     assert_eq!(paths(2), ["/v1/endpoints", "/v1/endpoints?watch=1&from=1"]);
     push(&mut p.watch, &list(5, false, &[]).to_string());
     push(&mut p.watch, "{\"revision\": tomorrow}");
@@ -207,6 +207,56 @@
     assert_eq!(client.answer(), "v");
 }
 
+#[test]
+fn sighup_moves_the_watch_and_loses_neither_clients_nor_requests() {
+    let mut p = Platform::start(2);
+    let key = p.key_of(0);
+    let mut client = p.balancer.client();
+    client.get("leer", &key);
+    let kept = p.peers[0].asked();
+
+    // A file that cannot be used changes nothing: the old watch is still listened to.
+    p.balancer.reload("{\"name\": ");
+    p.balancer.logged("the configuration in use stays");
+    push(&mut p.watch, &list(40, false, &[member("s-9", p.peers[1].addr, "draining")]).to_string());
+    p.balancer.logged("s-9 is Draining");
+
+    // The new agent counts from 3 and no longer has the first peer; the old one is left.
+    let members = [member("origin", p.origin.addr, "ready"), member("s-1", p.peers[1].addr, "ready")];
+    let other = Discovery::start(list(3, true, &members));
+    let mut changed = config(other.addr, 1024, Value::Null);
+    changed["limits"]["memory_mb"] = 96.into();
+    p.balancer.reload(&changed.to_string());
+    p.balancer.logged("limits changed in the file; in use after a restart");
+    p.balancer.logged(&format!("discovery is now at {}", other.addr));
+    assert_eq!([other.asked_for(), other.asked_for()], ["/v1/endpoints", "/v1/endpoints?watch=1&from=3"]);
+    assert_eq!(std::io::Read::read(&mut p.watch, &mut [0]).unwrap(), 0, "the old watch is closed");
+    let mut watch = other.watch();
+    push(&mut watch, &list(4, false, &[member("s-8", p.peers[1].addr, "draining")]).to_string());
+    p.balancer.logged("s-8 is Draining");
+
+    kept.value("tomado antes");
+    assert_eq!(client.answer(), "tomado antes", "on the connection it came on");
+    client.get("leer", &key);
+    p.peers[1].asked().value("ahora");
+    assert_eq!(client.answer(), "ahora");
+    assert!(p.peers[0].heard_of_nothing_more());
+}
+
+#[test]
+fn the_old_list_is_kept_until_a_new_agent_has_one() {
+    let p = Platform::start(1);
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    p.balancer.reload(&config(silent.local_addr().unwrap(), 1024, Value::Null).to_string());
+    drop(silent.accept().unwrap()); // it is asked, and ends that without a word
+    p.balancer.logged("the list stays as it is");
+    let _asked_again = silent.accept().unwrap();
+    let mut client = p.balancer.client();
+    client.get("leer", "1");
+    p.peers[0].asked().value("v");
+    assert_eq!(client.answer(), "v");
+}
+
 #[test]
 fn with_a_silent_discovery_the_list_known_before_is_used() {
     let peer = Peer::start(false);
@@ -299,7 +349,7 @@
         broken(|c| c["limits"]["sockets"] = 20.into()),
         broken(|c| c["listen"] = "nowhere".into()),
     ] {
-        let out = spawn(&text, 1024).wait_with_output().unwrap();
+        let out = spawn(&text, 1024).0.wait_with_output().unwrap();
         let said = String::from_utf8(out.stderr).unwrap();
         assert!(!out.status.success() && said.lines().count() == 1, "{said}");
         assert!(said.starts_with("spindlebeam: configuration "), "{said}");
