Read good answers of the origin that come behind interim ones

Checked with a probe that logged the first bytes of each unreadable answer: 38 of some 190 of the origin's were good ones behind 103 and 102. At fault: head() in src/proto/http.rs asked a Content-Length of 1xx too. Ruled out: late detection; the rest of the spoilt answers were all found on their first bytes.

--- a/src/proto/http.rs
+++ b/src/proto/http.rs
@@ -11,6 +11,8 @@
 
 /// Most bytes of an answer's head.
 const MAX_HEAD: usize = 16 * 1024;
+/// Most interim answers ahead of one.
+const MAX_INTERIM: usize = 8;
 /// Most bytes of the line before a chunk.
 const MAX_CHUNK_LINE: usize = 256;
 
@@ -61,12 +63,13 @@
 #[derive(Debug, Clone)]
 pub struct Decoder {
     state: State,
+    interim: usize,
     max_length: usize,
 }
 
 impl Default for Decoder {
     fn default() -> Self {
-        Self { state: State::Head, max_length: MAX_VALUE }
+        Self { state: State::Head, interim: 0, max_length: MAX_VALUE }
     }
 }
 
@@ -105,7 +108,11 @@
             found.declined = value == b"1";
         }
     }
-    if found.body != Body::Chunked && status != 204 && status != 304 {
+    // Guards good answers that come behind interim ones (1xx): those state no length, since they have no body.
+    let bodiless = status < 200 || status == 204 || status == 304;
+    if bodiless {
+        found.body = Body::Length(0);
+    } else if found.body != Body::Chunked {
         // An answer without a stated end cannot be told from a broken one.
         found.body = Body::Length(length.ok_or(ErrMode::Cut(ContextError::new()))?);
     }
@@ -157,9 +164,15 @@
             match self.state {
                 State::Head => {
                     let Some(head) = take(buffer, MAX_HEAD, "head", head)? else { return Ok(None) };
-                    if (100..200).contains(&head.status) {
-                        continue; // an interim answer: the real one follows
+                    if head.status < 200 {
+                        // An interim answer: the real one follows, but not after any number of them.
+                        self.interim += 1;
+                        if self.interim > MAX_INTERIM {
+                            return Err(ProtoError::TooLong("run of interim answers"));
+                        }
+                        continue;
                     }
+                    self.interim = 0;
                     self.state = match head.body {
                         Body::Length(n) if n > self.max_length => return Err(ProtoError::TooLong("body")),
                         Body::Length(n) => State::Length(n),
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -75,7 +75,8 @@
         cuts in prop::collection::vec(any::<usize>(), 0..12),
     ) {
         let body = parts.concat();
-        let mut bytes = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        let interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+        let mut bytes = format!("{interim}HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
         bytes.extend_from_slice(&body);
         bytes.extend_from_slice(b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\ntransfer-encoding: chunked\r\n\r\n");
         for part in &parts {
@@ -127,6 +128,7 @@
     assert!(http(&chunks, &[]).is_err(), "chunks beyond the longest value");
     assert!(http(b"HTTP/1.1 200 OK\r\n\r\n", &[]).is_err(), "no stated end");
     assert!(http(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", &[]).is_err());
+    assert!(http(&b"HTTP/1.1 100 Continue\r\n\r\n".repeat(9), &[]).is_err(), "interim answers without end");
     let line = vec![b'x'; discovery::MAX_LIST + 1];
     assert!(fed(&line, &[], discovery::next_line).is_err(), "a line without end");
 }
