Bound what clients can hold: deadlines for commands, open ids, who gives way, bytes not counts

Found by reading: no time limit on a first or unfinished command, the latter never evicted; room for 170 requests at 32 MB; Gone peers of delta lists kept in UpstreamGroup for ever; timers of a request kept until a time that its client names; stray bytes looked for only in what the runtime knew of the socket; a log line for each bad input. At fault: src/front/client.rs (idle only without input), src/front/mod.rs (the longest idle alone), src/config.rs (Bounds.open, an even split of descriptors), src/upstream_group.rs (apply), Connection::quiet.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,6 @@
 //! The configuration: the platform's JSON, read once, and the settings flattened to the module's paths.
 
 use crate::api::Settings;
-use crate::proto::MAX_VALUE;
 use crate::proto::discovery::List;
 use anyhow::{Context, Result, ensure};
 use serde::Deserialize;
@@ -11,7 +10,7 @@
 use std::time::Duration;
 
 /// Descriptors kept back for the listener, discovery, the logs and the runtime.
-const RESERVED_SOCKETS: usize = 64;
+const RESERVED_SOCKETS: usize = 24;
 
 #[derive(Deserialize)]
 struct File {
@@ -73,8 +72,10 @@
     pub peers: usize,
     /// Bytes of requests' values held at a time.
     pub held_bytes: usize,
-    /// Requests taken at a time whose answers have not been written: a third of the memory could hold them all.
+    /// Requests taken at a time whose answers have not been written.
     pub open: usize,
+    /// Bytes that the answers to these may come to, at the size that answers have had of late.
+    pub answer_bytes: usize,
     /// How long a dial may take.
     pub dial: Duration,
     /// How long a connection to a peer is kept idle.
@@ -163,10 +164,12 @@
                 kinds: strings(&file.settings["hostTypes"], None),
             },
             bounds: Bounds {
-                clients: usable / 2,
-                peers: usable - usable / 2,
+                // Clients come with new connections and leave old ones open; tries use theirs again.
+                clients: usable * 5 / 8,
+                peers: usable - usable * 5 / 8,
                 held_bytes: memory / 6,
-                open: usize::try_from(open).unwrap_or(usize::MAX).min(memory / 3 / MAX_VALUE),
+                open: usize::try_from(open).unwrap_or(usize::MAX),
+                answer_bytes: memory / 3,
                 dial: micros("dialTimeoutUs", 100_000),
                 // A margin below the peers' own limit: a request written after it ends as a reset.
                 idle: micros("connIdleUs", 10_000_000).mul_f64(0.85),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -8,11 +8,12 @@
 use crate::call::{Answer, Call};
 use crate::config::{Bounds, Config};
 use crate::decide::Router;
-use crate::peer::{self, Connection, Ended, Pools, Try};
+use crate::peer::{self, Connection, Ended, Lines, Pools, Try};
 use crate::proto::discovery::List;
 use crate::upstream_group::{Peer, UpstreamGroup, server_id};
-use rustc_hash::FxHashMap;
-use std::cell::Cell;
+use bytes::Bytes;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
@@ -56,27 +57,62 @@
 pub struct Handle {
     inputs: mpsc::UnboundedSender<Input>,
     next: Rc<Cell<u64>>,
-    claims: Rc<Cell<usize>>,
-    most_claims: usize,
+    claims: Rc<Claims>,
     ready: Rc<Cell<bool>>,
 }
 
+/// The requests taken whose answers have not been written, and what their answers may come to.
+#[derive(Debug)]
+struct Claims {
+    ids: RefCell<FxHashSet<Bytes>>,
+    open: Cell<usize>,
+    expected: Cell<usize>,
+    most: usize,
+    most_bytes: usize,
+}
+
+/// Size that an answer is expected to have at least.
+const SMALL_ANSWER: usize = 4 * 1024;
+
+impl Claims {
+    fn new(bounds: &Bounds) -> Self {
+        let (most, most_bytes) = (bounds.open, bounds.answer_bytes);
+        let expected = Cell::new(SMALL_ANSWER);
+        Self { ids: RefCell::default(), open: Cell::default(), expected, most, most_bytes }
+    }
+    /// Guards memory, each claim may come to hold an answer until its client has read it; by the longest of late,
+    /// since by the longest possible a small balancer had room for fewer than a busy day brings.
+    fn full(&self) -> bool {
+        let open = self.open.get();
+        open >= self.most || (open + 1) * self.expected.get() > self.most_bytes
+    }
+    /// Learns from an answer's size: at once from a longer one, slowly from shorter ones.
+    fn learn(&self, size: usize) {
+        let expected = self.expected.get();
+        self.expected.set(size.max(expected - expected / 64).max(SMALL_ANSWER));
+    }
+}
+
 impl Handle {
-    /// Hands a request over.
+    /// Hands a request over; none is taken while another with its client's id is open. Guards against a second run
+    /// of that one: peers and origin tell requests apart by this id.
     #[must_use]
-    pub fn submit(&self, incoming: Incoming) -> Ticket {
+    pub fn submit(&self, incoming: Incoming) -> Option<Ticket> {
+        let name = incoming.call.id.clone();
+        if !self.claims.ids.borrow_mut().insert(name.clone()) {
+            return None;
+        }
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (sender, answer) = oneshot::channel();
-        if self.claims.get() >= self.most_claims {
-            // Guards memory: each claim may come to hold an answer until its client has read it.
+        if self.claims.full() {
             let _ = sender.send(Answer::Refused(0));
         } else {
             // If the core is gone, the sender is dropped with the input and the ticket tells a failure.
             let _ = self.inputs.send(Input::Arrived(id, incoming, sender));
         }
-        self.claims.set(self.claims.get() + 1);
+        self.claims.open.set(self.claims.open.get() + 1);
         let claims = self.claims.clone();
-        Ticket { id, answer, inputs: self.inputs.clone(), claims, answered: false }
+        Some(Ticket { id, name, answer, inputs: self.inputs.clone(), claims, answered: false })
     }
 
     /// Tells the core what discovery has told.
@@ -94,9 +130,10 @@
 /// A claim to one final answer. Dropping it unanswered tells the core that the client has left.
 pub struct Ticket {
     id: RequestId,
+    name: Bytes,
     answer: oneshot::Receiver<Answer>,
     inputs: mpsc::UnboundedSender<Input>,
-    claims: Rc<Cell<usize>>,
+    claims: Rc<Claims>,
     answered: bool,
 }
 
@@ -112,7 +149,8 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.claims.set(self.claims.get() - 1);
+        self.claims.open.set(self.claims.open.get() - 1);
+        self.claims.ids.borrow_mut().remove(&self.name);
         if !self.answered {
             let _ = self.inputs.send(Input::Left(self.id));
         }
@@ -145,6 +183,7 @@
     timers: DelayQueue<Due>,
     group: UpstreamGroup,
     pools: Pools,
+    lines: Rc<Lines>,
     bounds: Bounds,
     events: VecDeque<Event>,
 }
@@ -154,8 +193,8 @@
     #[must_use]
     pub fn new(config: &Config) -> (Self, Handle) {
         let (sender, inputs) = mpsc::unbounded_channel();
-        let (next, claims, ready) = Default::default();
-        let handle = Handle { inputs: sender, next, claims, most_claims: config.bounds.open, ready };
+        let (next, ready) = Default::default();
+        let handle = Handle { inputs: sender, next, claims: Rc::new(Claims::new(&config.bounds)), ready };
         // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         let mut engine = Self {
@@ -168,6 +207,7 @@
             timers: DelayQueue::new(),
             group: UpstreamGroup::new(config.names.clone(), config.settings.origin_kind),
             pools: Pools::new(config.bounds),
+            lines: Rc::default(),
             bounds: config.bounds,
             events: VecDeque::new(),
         };
@@ -244,7 +284,9 @@
         self.events.push_back(Event::Servers(kind, entries));
     }
 
-    fn arrived(&mut self, id: RequestId, incoming: Incoming, answer: oneshot::Sender<Answer>) {
+    fn arrived(&mut self, id: RequestId, mut incoming: Incoming, answer: oneshot::Sender<Answer>) {
+        // Guards memory: timers are kept until their time, so that no client may have one kept for minutes.
+        incoming.time_left = incoming.time_left.min(self.bounds.longest);
         let held = incoming.call.value.as_ref().map_or(0, |v| v.len());
         if self.held_bytes + held > self.bounds.held_bytes {
             // Guards memory: turned away before the module hears of it.
@@ -283,6 +325,7 @@
             context.out.retain(|(n, _)| *n != attempt);
         }
         if ended.outcome == Outcome::Ok {
+            self.handle.claims.learn(ended.value.len());
             self.answer(id, Answer::Served(ended.value));
         }
         let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
@@ -400,7 +443,8 @@
         context.out.push((attempt, cancel));
         let call = context.call.clone();
         let line = self.pools.line(&peer);
-        let this = Try { peer: peer.clone(), call, line, dial: self.bounds.dial, until };
+        let lines = self.lines.clone();
+        let this = Try { peer: peer.clone(), call, line, dial: self.bounds.dial, until, lines };
         let inputs = self.handle.inputs.clone();
         tokio::task::spawn_local(async move {
             let ended = this.run(cancelled).await;
--- a/src/front/client.rs
+++ b/src/front/client.rs
@@ -1,6 +1,7 @@
 //! One client connection: commands in, answers out in the order of the commands.
 
 use super::Front;
+use super::parking::Parked;
 use super::request::{self, Asked};
 use crate::call::Answer;
 use crate::engine::Ticket;
@@ -13,7 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Commands of one connection that may wait for their answers; beyond it nothing is read.
 const MOST_WAITING: usize = 32;
@@ -21,8 +22,14 @@
 const MOST_GATHERED: usize = 256 * 1024;
 /// How long a client may take to read an answer.
 const WRITE_TIME: Duration = Duration::from_secs(5);
+/// How long a client may take over a command, from its first byte on, and over its first from connecting on. Guards
+/// places against clients that say nothing or half a command; a usual one takes milliseconds.
+const COMMAND_TIME: Duration = Duration::from_secs(2);
 /// How long a connection that ends with an error is read on, so that the error is not lost to a reset.
-const LINGER: Duration = Duration::from_millis(200);
+const LINGER: Duration = Duration::from_secs(2);
+/// What is read meanwhile is thrown away, so many bytes at a time with a pause after each: guards the core against
+/// one that goes on sending at full speed.
+const LINGER_READ: (usize, Duration) = (16 * 1024, Duration::from_millis(2));
 
 enum Reply {
     Now(BytesMut),
@@ -37,8 +44,10 @@
     input: BytesMut,
     replies: VecDeque<Reply>,
     ending: bool,
+    /// Since when a command is awaited that is not whole: the first, or one that has begun.
+    awaited_since: Option<Instant>,
     asked_to_close: Rc<Notify>,
-    idle_key: Option<(Instant, u64)>,
+    parked: Option<Parked>,
 }
 
 fn line(text: &str) -> Reply {
@@ -71,8 +80,9 @@
             input: BytesMut::with_capacity(1024),
             replies: VecDeque::new(),
             ending: false,
+            awaited_since: Some(Instant::now()),
             asked_to_close: Rc::default(),
-            idle_key: None,
+            parked: None,
         }
     }
 
@@ -91,9 +101,13 @@
             if self.ending && self.replies.is_empty() {
                 return self.linger().await;
             }
-            let idle = self.replies.is_empty() && self.input.is_empty();
-            self.mark_idle(idle);
+            let answered = self.replies.is_empty();
+            self.park(
+                answered.then(|| self.awaited_since.map_or(Parked::Idle(Instant::now()), Parked::Awaited)),
+            );
+            let idle = answered && self.input.is_empty();
             let may_read = !self.ending && self.replies.len() < MOST_WAITING;
+            let deadline = self.awaited_since.filter(|_| may_read).map(|since| since + COMMAND_TIME);
             let close = tokio::select! {
                 biased;
                 answer = next_answer(&mut self.replies) => {
@@ -109,8 +123,16 @@
                     self.parse();
                     false
                 }
-                () = self.asked_to_close.notified(), if idle => true,
+                () = self.asked_to_close.notified(), if answered => true,
                 () = self.front.closing.cancelled(), if idle => true,
+                () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
+                    if !self.input.is_empty() {
+                        self.ending = true;
+                        self.replies.push_back(line("-ERR the command did not end in time\r\n"));
+                        continue;
+                    }
+                    true
+                }
             };
             // Guards a request that arrived as we were about to close: it has been taken.
             if close && self.nothing_came().await? {
@@ -145,10 +167,22 @@
     /// Reads the commands that are whole, as far as there are places for their answers.
     fn parse(&mut self) {
         while !self.ending && self.replies.len() < MOST_WAITING {
-            let reply = match resp::next_command(&mut self.input) {
-                Ok(None) => return,
+            let found = resp::next_command(&mut self.input);
+            if let Ok(Some(_)) = found {
+                self.awaited_since = None;
+            }
+            let reply = match found {
+                Ok(None) => {
+                    if !self.input.is_empty() {
+                        self.awaited_since.get_or_insert_with(Instant::now);
+                    }
+                    return;
+                }
                 Ok(Some(command)) => match request::read(&command, &self.front.names) {
-                    Asked::Request(incoming) => Reply::Later(self.front.handle.submit(incoming)),
+                    Asked::Request(incoming) => match self.front.handle.submit(incoming) {
+                        Some(ticket) => Reply::Later(ticket),
+                        None => line("-ERR a request with this id is open\r\n"),
+                    },
                     Asked::Ping if self.front.handle.ready() => line("+PONG\r\n"),
                     Asked::Ping => line("-LOADING the list of peers has not come yet\r\n"),
                     Asked::Ok => line("+OK\r\n"),
@@ -159,7 +193,9 @@
                     Asked::Refused(why) => line(&format!("-ERR {why}\r\n")),
                 },
                 Err(error) => {
-                    log::info!("client {}: {error}", self.number);
+                    if let Some(more) = self.front.malformed.line() {
+                        log::info!("client {}: {error}{more}", self.number);
+                    }
                     self.ending = true;
                     line(&format!("-ERR {error}\r\n"))
                 }
@@ -168,17 +204,22 @@
         }
     }
 
-    fn mark_idle(&mut self, idle: bool) {
-        if idle == self.idle_key.is_some() {
+    /// Tells the front whether, and as what, this connection may be closed to make room.
+    fn park(&mut self, parked: Option<Parked>) {
+        let same = match (&self.parked, &parked) {
+            (Some(Parked::Idle(_)), Some(Parked::Idle(_))) => true, // idle since it was first parked so
+            (old, new) => old == new,
+        };
+        if same {
             return;
         }
-        let mut all = self.front.idle.borrow_mut();
-        if let Some(key) = self.idle_key.take() {
-            all.remove(&key);
-        } else {
-            let key = (Instant::now(), self.number);
-            all.insert(key, self.asked_to_close.clone());
-            self.idle_key = Some(key);
+        if let Some(old) = std::mem::replace(&mut self.parked, parked) {
+            self.front.parking.borrow_mut().leave(old, self.number);
+        }
+        if let Some(new) = parked {
+            // Guards against a request to close that was meant for an earlier pause and crossed a command.
+            self.asked_to_close = Rc::default();
+            self.front.parking.borrow_mut().enter(new, self.number, self.asked_to_close.clone());
         }
     }
 
@@ -195,21 +236,28 @@
         }
     }
 
+    /// Ends our sending, then reads on for a while: closing with bytes unread would reset the connection, and the
+    /// client might lose the error that it was just sent.
     async fn linger(&mut self) -> io::Result<()> {
+        self.park(Some(Parked::Awaited(Instant::now())));
         self.stream.shutdown().await?;
+        self.input = BytesMut::with_capacity(LINGER_READ.0);
         let drain = async {
-            self.input.clear();
             while self.stream.read_buf(&mut self.input).await? > 0 {
                 self.input.clear();
+                sleep(LINGER_READ.1).await;
             }
             io::Result::Ok(())
         };
-        timeout(LINGER, drain).await.unwrap_or(Ok(()))
+        tokio::select! {
+            drained = timeout(LINGER, drain) => drained.unwrap_or(Ok(())),
+            () = self.asked_to_close.notified() => Ok(()),
+        }
     }
 }
 
 impl Drop for Client {
     fn drop(&mut self) {
-        self.mark_idle(false);
+        self.park(None);
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,19 +1,21 @@
 //! The platform's RESP front: the listener, and the places for client connections.
 
 mod client;
+mod parking;
 mod request;
 
 use crate::config::Names;
 use crate::engine::Handle;
+use crate::seldom::Seldom;
+use parking::Parking;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// The wait after a failed accept, when descriptors may have run out.
@@ -27,8 +29,10 @@
     most: usize,
     open: RefCell<usize>,
     next: RefCell<u64>,
-    /// Idle connections, the longest idle first, each with the way to ask it to close.
-    idle: RefCell<BTreeMap<(Instant, u64), Rc<Notify>>>,
+    parking: RefCell<Parking>,
+    malformed: Seldom,
+    full: Seldom,
+    failed: Seldom,
     freed: Notify,
     /// Set when connections are to close as they fall idle.
     pub closing: CancellationToken,
@@ -44,7 +48,10 @@
             most,
             open: RefCell::default(),
             next: RefCell::default(),
-            idle: RefCell::default(),
+            parking: RefCell::default(),
+            malformed: Seldom::default(),
+            full: Seldom::default(),
+            failed: Seldom::default(),
             freed: Notify::new(),
             closing: CancellationToken::new(),
         })
@@ -60,8 +67,10 @@
                     Ok((stream, _)) => self.clone().serve(stream),
                     Err(error) => {
                         // Guards against a spin on EMFILE: the client stays in the backlog meanwhile.
-                        log::warn!("accepting: {error}");
-                        self.evict();
+                        if let Some(more) = self.failed.line() {
+                            log::warn!("accepting: {error}{more}");
+                        }
+                        self.parking.borrow_mut().evict();
                         sleep(ACCEPT_PAUSE).await;
                     }
                 },
@@ -73,22 +82,19 @@
         }
     }
 
-    /// Waits for a place for one more client, at the cost of the one that has been idle for longest.
+    /// Waits for a place for one more client, at the cost of one that [`Parking::evict`] picks.
     async fn make_room(&self) {
         while *self.open.borrow() >= self.most {
-            if !self.evict() {
-                log::warn!("all {} client connections are busy", self.most);
+            if !self.parking.borrow_mut().evict() {
+                if let Some(more) = self.full.line() {
+                    log::warn!("all {} client connections are busy{more}", self.most);
+                }
             }
             // Guards against waiting for one that was asked to close just as its next request came.
             let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
         }
     }
 
-    fn evict(&self) -> bool {
-        let oldest = self.idle.borrow_mut().pop_first();
-        oldest.map(|(_, asked)| asked.notify_one()).is_some()
-    }
-
     fn serve(self: Rc<Self>, stream: TcpStream) {
         *self.open.borrow_mut() += 1;
         *self.next.borrow_mut() += 1;
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -7,7 +7,7 @@
 use crate::proto::resp::Command;
 use std::time::Duration;
 
-/// Longest time that a client's request may name; more is cut to it.
+/// The longest time that a request may name: ten minutes. No class waits that long.
 const LONGEST_MS: f64 = 600_000.0;
 
 /// What a command asks of the balancer.
@@ -57,7 +57,7 @@
     if !is_word(id) || !is_word(options) {
         return Err("bad id or options");
     }
-    let (mut class, mut tenant, mut time) = (None, TenantId(0), None);
+    let (mut class, mut tenant, mut time): (_, _, Option<(f64, _)>) = (None, TenantId(0), None);
     for option in options.split(|b| *b == b',') {
         let at = option.iter().position(|b| *b == b'=').ok_or("bad options")?;
         let (name, value) = (&option[..at], &option[at + 1..]);
@@ -70,11 +70,10 @@
             }
             b"t" => tenant = TenantId(place(&names.tenants).ok_or("unknown tenant")? as u32),
             b"d" => {
-                let ms =
-                    text.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0).ok_or("bad time")?;
+                let ms = text.parse().ok().filter(|ms| (0.0..=LONGEST_MS).contains(ms)).ok_or("bad time")?;
                 let value = options.slice_ref(value);
                 let start = value.as_ptr() as usize - options.as_ptr() as usize;
-                time = Some((ms.min(LONGEST_MS), start..start + value.len()));
+                time = Some((ms, start..start + value.len()));
             }
             b"k" | b"r" | b"size" | b"hint" => {}
             _ => return Err("unknown option"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod peer;
 pub mod proto;
 pub mod reload;
+pub mod seldom;
 pub mod serve;
 pub mod settings;
 mod state;
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -5,6 +5,7 @@
 use crate::call::Call;
 use crate::proto::http::{self, Whole};
 use crate::proto::{MAX_VALUE, resp};
+use crate::seldom::Seldom;
 use crate::upstream_group::Peer;
 use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
@@ -28,6 +29,16 @@
     pub dial: Duration,
     /// When the balancer stops waiting.
     pub until: Instant,
+    /// What it may log.
+    pub lines: Rc<Lines>,
+}
+
+/// Log lines that peers can cause at any rate.
+#[derive(Debug, Default)]
+pub struct Lines {
+    bad_answer: Seldom,
+    refused: Seldom,
+    none_to_spare: Seldom,
 }
 
 /// How a try ended.
@@ -66,7 +77,7 @@
     }
 
     async fn exchange(self, written: &Cell<bool>) -> Ended {
-        let mut connection = match open(self.line, &self.peer, self.dial).await {
+        let mut connection = match open(self.line, &self.peer, self.dial, &self.lines).await {
             Ok(connection) => connection,
             Err(outcome) => return outcome.into(),
         };
@@ -86,26 +97,34 @@
         let answer = if self.peer.origin {
             read_http(&mut connection).await
         } else {
-            read_resp(&mut connection, &self.peer.name).await
+            read_resp(&mut connection, &self.peer.name, &self.lines).await
         };
         match answer {
             Ok((ended, keep)) => Ended { connection: keep.then_some(connection), ..ended },
             Err(Broken::Reset) => Outcome::Reset.into(),
             Err(Broken::Malformed(error)) => {
-                log::warn!("peer {}: bad answer: {error}", self.peer.name);
+                if let Some(more) = self.lines.bad_answer.line() {
+                    log::warn!("peer {}: bad answer: {error}{more}", self.peer.name);
+                }
                 Outcome::Error.into()
             }
         }
     }
 }
 
-async fn open(line: Line, peer: &Peer, time: Duration) -> Result<Connection, Outcome> {
+async fn open(line: Line, peer: &Peer, time: Duration, lines: &Lines) -> Result<Connection, Outcome> {
     match line {
-        Line::Open(connection) => Ok(connection),
+        Line::Open(connection) if connection.quiet() => Ok(connection),
+        // Something came between the choice of the connection and now: another takes its place.
+        Line::Open(Connection { _place: place, .. }) => {
+            dial(DialPlace(place), peer, time).await.ok_or(Outcome::ConnectFailed)
+        }
         Line::Dial(place) => dial(place, peer, time).await.ok_or(Outcome::ConnectFailed),
         Line::None => {
             // Our own limit, never sent: it says nothing of the peer's health.
-            log::warn!("peer {}: no connection to spare", peer.name);
+            if let Some(more) = lines.none_to_spare.line() {
+                log::warn!("peer {}: no connection to spare{more}", peer.name);
+            }
             Err(Outcome::Full)
         }
     }
@@ -175,7 +194,7 @@
     }
 }
 
-async fn read_resp(connection: &mut Connection, name: &str) -> Result<(Ended, bool), Broken> {
+async fn read_resp(connection: &mut Connection, name: &str, lines: &Lines) -> Result<(Ended, bool), Broken> {
     loop {
         let Some(answer) = resp::next_answer(&mut connection.buffer)? else {
             more(connection).await?;
@@ -186,9 +205,9 @@
             resp::Answer::Miss { pending } => Ended { pending, ..Outcome::Miss.into() },
             resp::Answer::Busy => Outcome::Full.into(),
             resp::Answer::Failed(text) => {
-                if text.starts_with(b"SYNTAX") {
+                if let Some(more) = text.starts_with(b"SYNTAX").then(|| lines.refused.line()).flatten() {
                     let text = String::from_utf8_lossy(&text);
-                    log::error!("peer {name} refused our command: -{text}");
+                    log::error!("peer {name} refused our command: -{text}{more}");
                 }
                 Outcome::Error.into()
             }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,9 +6,12 @@
 use crate::config::Bounds;
 use crate::upstream_group::Peer;
 use bytes::BytesMut;
-pub use exchange::{Ended, Try, dial};
+pub use exchange::{Ended, Lines, Try, dial};
 use rustc_hash::FxHashMap;
+use socket2::SockRef;
 use std::cell::Cell;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -32,11 +35,13 @@
 }
 
 impl Connection {
-    /// Whether nothing has come since the last answer, neither an end nor stray bytes.
+    /// Whether nothing has come since the last answer, neither an end nor stray bytes. Guards the next request against
+    /// being served with what came behind the answer to another. The system itself is asked: what the runtime knows of
+    /// the socket is as old as its last look at all of them.
     fn quiet(&self) -> bool {
-        let silent =
-            self.stream.try_read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
-        self.buffer.is_empty() && silent
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        self.buffer.is_empty() && peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 }
 
@@ -124,9 +129,9 @@
         oldest.map(|idle| idle.remove(0)).is_some()
     }
 
-    /// Takes in a connection that is free; none when it was spent with the try on it, or could not be dialled.
+    /// Takes in a connection that is free and brought no more than belongs to its answer; none when it was spent with the try on it, or could not be dialled.
     pub fn put(&mut self, peer: &Peer, connection: Option<Connection>) {
-        let Some(connection) = connection.filter(|_| peer.ready()) else {
+        let Some(connection) = connection.filter(|it| peer.ready() && it.quiet()) else {
             self.counts.spent += 1;
             return;
         };
--- a/src/upstream_group.rs
+++ b/src/upstream_group.rs
@@ -100,6 +100,15 @@
         }
         for (member, entry) in list.members.iter().zip(&entries) {
             let known = self.peers.get(&entry.id);
+            if entry.presence == Presence::Gone {
+                // Guards memory on days on which new peers take the place of old ones all the time.
+                if let Some(peer) = self.peers.remove(&entry.id) {
+                    log::info!("discovery: {} is Gone", member.id);
+                    peer.presence.set(Presence::Gone); // tries that are dialling still look at it
+                    stale.push(entry.id);
+                }
+                continue;
+            }
             if known.is_none_or(|peer| peer.presence.get() != entry.presence) {
                 log::info!("discovery: {} is {:?}", member.id, entry.presence);
             }
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -10,11 +10,12 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::Duration;
 
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Something that happened at a peer.
 pub enum Seen {
@@ -220,8 +221,8 @@
 
 /// Starts the program with a configuration of its own.
 pub fn spawn(config: &str, descriptors: u32) -> (Child, PathBuf) {
-    static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
     let child = Command::new("sh")
@@ -285,6 +286,12 @@
 
 pub struct Client(BufReader<TcpStream>);
 
+/// Every request carries a new id.
+fn new_id() -> String {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    format!("{:016x}", COUNT.fetch_add(1, Ordering::Relaxed))
+}
+
 impl Client {
     pub fn send(&mut self, words: &[&str]) {
         let mut bytes = BytesMut::new();
@@ -309,10 +316,13 @@
         line.trim_end().to_owned()
     }
     pub fn get(&mut self, class: &str, key: &str) {
-        self.send(&["CACHE.GET", key, "9b1f03aa5c7e2d41", &format!("c={class},t=acme,d=60000")]);
+        self.get_as(&new_id(), class, key);
+    }
+    pub fn get_as(&mut self, id: &str, class: &str, key: &str) {
+        self.send(&["CACHE.GET", key, id, &format!("c={class},t=acme,d=60000")]);
     }
     pub fn set(&mut self, class: &str, value: &str) {
-        self.send(&["CACHE.SET", "7f", "9b1f", &format!("c={class},t=acme,d=60000,k=5c0f"), value]);
+        self.send(&["CACHE.SET", "7f", &new_id(), &format!("c={class},t=acme,d=60000,k=5c0f"), value]);
     }
     pub fn ended(&mut self) -> bool {
         self.answer().is_empty()
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -8,7 +8,7 @@
 fn a_miss_is_fetched_from_the_origin_and_served_as_it_came() {
     let p = Platform::start(1);
     let mut client = p.balancer.client();
-    client.get("leer", "7f3a9c21e0b4d655");
+    client.get_as("9b1f03aa5c7e2d41", "leer", "7f3a9c21e0b4d655");
     let asked = p.peers[0].asked();
     assert_eq!(asked.words[..3], ["CACHE.GET", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41"]);
     let ms: u64 =
@@ -163,9 +163,15 @@
 
 #[test]
 fn requests_that_would_not_fit_into_the_memory_are_refused() {
-    let p = Platform::limited(1, 2, 1024, 1024); // a third of 2 MiB holds ten of the longest answers
+    // A third of 2 MiB holds ten of the longest answers, and many more of the usual ones until a long one is seen.
+    let p = Platform::limited(1, 2, 1024, 1024);
     let mut client = p.balancer.client();
     (0..12).for_each(|_| client.set("alta", "x"));
+    let asked: Vec<Asked> = (0..12).map(|_| p.origin.asked()).collect();
+    let long = "r".repeat(64 * 1024);
+    asked.into_iter().for_each(|put| put.http("200 OK", &long));
+    (0..12).for_each(|_| assert_eq!(client.answer(), long));
+    (0..12).for_each(|_| client.set("alta", "x"));
     let asked: Vec<Asked> = (0..10).map(|_| p.origin.asked()).collect();
     asked.into_iter().for_each(|put| put.http("200 OK", "recibo"));
     (0..10).for_each(|_| assert_eq!(client.answer(), "recibo"));
@@ -289,6 +295,61 @@
     assert!(p.balancer.exit().success());
 }
 
+#[test]
+fn an_id_that_is_open_is_an_error_and_never_a_second_run() {
+    let p = Platform::start(1);
+    let (mut client, mut other) = (p.balancer.client(), p.balancer.client());
+    client.get_as("9b1f", "leer", "1");
+    let first = p.peers[0].asked();
+    other.get_as("9b1f", "leer", "1");
+    assert_eq!(other.answer(), "-ERR a request with this id is open");
+    first.value("v");
+    assert_eq!(client.answer(), "v");
+    assert!(p.peers[0].heard_of_nothing_more());
+    other.get_as("9b1f", "leer", "2");
+    p.peers[0].asked().value("w");
+    assert_eq!(other.answer(), "w", "it is open no more");
+}
+
+#[test]
+fn clients_that_say_nothing_or_half_a_command_are_closed_and_an_idle_one_is_not() {
+    let p = Platform::start(1);
+    let mut usual = p.balancer.client();
+    usual.send(&["PING"]);
+    assert_eq!(usual.answer(), "+PONG");
+    let (mut silent, mut half) = (p.balancer.client(), p.balancer.client());
+    half.raw(b"*4\r\n$9\r\nCACHE.GET\r\n");
+    assert!(silent.ended());
+    assert_eq!(half.answer(), "-ERR the command did not end in time");
+    assert!(half.ended());
+    usual.send(&["PING"]);
+    assert_eq!(usual.answer(), "+PONG", "idle for longer, but it had asked");
+}
+
+#[test]
+fn a_client_that_sends_on_after_its_error_can_read_it() {
+    let p = Platform::start(1);
+    let mut client = p.balancer.client();
+    client.raw(b"*5\r\n$9\r\nCACHE.SET\r\n$1\r\n7\r\n$1\r\n8\r\n$17\r\nc=alta,t=acme,d=90\r\n$60000000\r\n");
+    client.raw(&vec![b'x'; 1 << 20]); // more than the system buffers, read by none but the balancer
+    assert_eq!(client.answer(), "-ERR malformed command");
+    assert!(client.ended());
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_served_to_none() {
+    let p = Platform::start(1);
+    let mut client = p.balancer.client();
+    client.get("leer", "1");
+    let value = "*3\r\n$3\r\nuno\r\n$3\r\nhit\r\n$-1\r\n";
+    p.peers[0].asked().answer(&[value, value].concat());
+    assert_eq!(client.answer(), "uno");
+    client.get("leer", "2");
+    assert!(p.peers[0].closed(), "that connection is used no more");
+    p.peers[0].asked().value("dos");
+    assert_eq!(client.answer(), "dos");
+}
+
 #[test]
 fn bad_input_is_answered_and_only_broken_framing_ends_the_connection() {
     let p = Platform::start(1);
@@ -300,6 +361,10 @@
         (&["CACHE.GET", "1", "2", "c=nada,t=acme,d=5"], "-ERR unknown class"),
         (&["CACHE.GET", "1", "2", "c=leer,t=acme,d=5,z=1"], "-ERR unknown option"),
         (&["CACHE.GET", "1", "2", "c=leer,t=acme,d=soon"], "-ERR bad time"),
+        (&["CACHE.GET", "1", "2", "c=leer,t=acme,d=-5"], "-ERR bad time"),
+        (&["CACHE.GET", "1", "2", "c=leer,t=acme,d=NaN"], "-ERR bad time"),
+        (&["CACHE.GET", "1", "2", "c=leer,t=acme,d=99999999999999"], "-ERR bad time"),
+        (&["CACHE.GET", "1", "", "c=leer,t=acme,d=5"], "-ERR bad id or options"),
         (&["CACHE.GET", "1", "2\r\nForged: 1", "c=leer,t=acme,d=5"], "-ERR bad id or options"),
         (&["HELLO", "3"], "-ERR unknown command"),
         (&["SELECT", "0"], "+OK"),
@@ -320,7 +385,7 @@
 
 #[test]
 fn more_clients_than_places_are_all_answered_at_the_cost_of_idle_ones() {
-    // 32 places for clients; and then fewer descriptors than the program was told of, so that accepting fails.
+    // 65 places for clients; and then fewer descriptors than the program was told of, so that accepting fails.
     for (sockets, descriptors) in [(64 + 64, 1024), (1024, 40)] {
         let p = Platform::limited(1, 192, sockets, descriptors);
         let mut clients: Vec<Client> = Vec::new();
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -81,4 +81,10 @@
     let (kind, _, stale) = group.apply(&read(3, true, &[("y", "ready", 0)]), false);
     assert_eq!((kind, stale), (ListKind::Full, vec![server_id("x")]), "what a whole list lacks is gone");
     assert!(!before.ready() && group.peer(server_id("x")).is_none(), "also for a try that still dials it");
+
+    // Found by reading: what a change called gone was kept for ever, on days that replace peers all the time.
+    let before = group.peer(server_id("y")).unwrap().clone();
+    let (_, entries, stale) = group.apply(&read(4, false, &[("y", "gone", 0)]), false);
+    assert_eq!((entries[0].presence, stale), (Presence::Gone, vec![server_id("y")]));
+    assert!(!before.ready() && group.peer(server_id("y")).is_none(), "no trace is kept of it");
 }
