--- a/src/decide.rs
+++ b/src/decide.rs
@@ -515,8 +515,8 @@
         }
     }
 
-    /// Cuts a read's try short if it looks lost, or looks again later: most that take long are at servers that
-    /// are only slow. One that later tries overtook is lost; at a server silent since, it may be.
+    /// Cuts a read's try short if it looks lost, or looks again later: most that take long are at servers
+    /// that are only slow. One that later tries overtook is lost; at a server silent since, it may be.
     fn consider(&mut self, id: RequestId) {
         let (Some(open), now) = (self.open.get_mut(&id), self.now) else { return };
         open.due = Micros::MAX;
@@ -598,7 +598,7 @@
         let read = !open.req.write && matches!(outcome, Outcome::Error | Outcome::Reset);
         if to_origin && read && self.retries >= 1.0 {
             self.retries -= 1.0;
-            return self.fetch(id); // guards reads against a spoilt answer: a further permit, if in time
+            return self.fetch(id); // guards reads against a spoilt answer, if a permit is in time
         }
         let again = !to_origin || (write && self.open.get(&id).is_some_and(|o| self.may_send(o, None)));
         if !again || self.retries < 1.0 || matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
