Spread a key from two reads on where many balancers each see a few of them

The twelve hottest keys draw 0.8 to 2.1% of all reads each; a host's even part is 1.7%. Of 8,592 tries 18% timed out. Each balancer sees 15 reads a second: within its span of 10 s it counts 3 reads of a key with 2%, and HOT_COUNT asked for 6 (policy.rs, pick). Ruled out: silent hosts (the jammed ones answered, late), the archive (1,522 of 1,535 fetches good).

The count a key needs now follows from the number of balancers: 6 up to six balancers, 2 from eighteen on.

Small, because it only takes the hottest keys off the jammed hosts; the rest needs what one balancer cannot see alone.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -23,7 +23,7 @@
 const BOUND_FACTOR: f64 = 1.25; // in-flight bound: this many times the server's share of the mean ...
 const BOUND_MIN: f64 = 2.0; // ... and at least this many, so that chance alone moves no key
 const HOT_PART: f64 = 0.6; // a key is spread over one server more for each such part of a mean server's reads
-const HOT_COUNT: f64 = 6.0; // reads of a key in its span before it can be called hot
+const HOT_COUNT: (f64, f64, f64) = (2.0, 36.0, 6.0); // reads of a hot key: at least, of all balancers, enough
 const KEY_SPAN_US: f64 = 10e6; // span over which reads of keys are counted
 const RATE_SPAN_US: f64 = 1e6; // and answers, fetches and tenants' requests, as rates
 const FULL_US: Micros = 100_000; // a server that turned a read away is out of bounds for this long
@@ -302,7 +302,8 @@
         // A key hotter than a server's part of the reads is spread over several of its ranks.
         let (asked, all) = (row.asked.sum(self.now, KEY_SPAN_US), self.lately.sum(self.now, KEY_SPAN_US));
         let parts = asked / all * f64::from(self.fleet.ready) / HOT_PART;
-        let spread = if asked >= HOT_COUNT { 1 + parts as usize } else { 1 };
+        let enough = (HOT_COUNT.1 / f64::from(self.settings.siblings)).clamp(HOT_COUNT.0, HOT_COUNT.2);
+        let spread = if asked >= enough { 1 + parts as usize } else { 1 };
         let hot = spread.min(ranks.len());
         ranks[..hot].rotate_left(self.rng.usize(..hot.max(1)));
         let tried_at = |slot: u32| tried.iter().any(|a| a.slot == slot && !a.stale);
@@ -410,8 +411,7 @@
         server.inflight += 1;
         server.cold_tokens -= 1.0;
         self.inflight += u32::from(!to_origin);
-        let timeout_us = if cut_short { patience } else { 0 };
-        self.out.push(Action::Send { id, server: entry.id, timeout_us });
+        self.out.push(Action::Send { id, server: entry.id, timeout_us: u64::from(cut_short) * patience });
         if impatient && (self.settings.second_copies || self.settings.cancel) {
             self.set_timer(patience, id.0);
         }
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -81,6 +81,23 @@
     assert_eq!(cool.len(), 1, "{cool:?}");
 }
 
+#[test]
+fn one_of_a_hundred_balancers_spreads_a_key_that_it_sees_but_a_few_times() {
+    // Sixty servers, fifteen reads a second: a key with a twentieth of all reads is worth three servers' part.
+    let mut rig = Rig::new(Settings { siblings: 100, ..settings() }, 1, 60);
+    let mut hot = BTreeSet::new();
+    for id in 0..150 {
+        rig.now += 67 * MS;
+        let key = if id % 20 == 0 { 1 } else { 100 + id };
+        let server = rig.sent_to(request(id, 0, key));
+        rig.end(id, 0, Outcome::Ok);
+        if key == 1 {
+            hot.insert(server);
+        }
+    }
+    assert!(hot.len() > 1, "{hot:?}");
+}
+
 #[test]
 fn a_full_server_is_passed_over_for_a_moment() {
     let mut rig = Rig::new(settings(), 1, 5);
