Balancers tell one another what hosts hold; fetches are judged by their own time

Change: crates/hearsay (pure: wire form, ageing, stamps, beliefs). Twice a second each balancer tells all (peers_all) of its mean load at each host and how requests ended; the sum gives each host a part of its weight for placing keys: by what is in a request's way there, and by the part that fails. With messages lost all parts go back to 1. A fetch counts as late only if it took a part of the aim by itself: 2% of it for each balancer, 15% to 100%.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -146,6 +146,8 @@
     pub second_copies: bool,
     /// Whether an attempt may be cancelled.
     pub cancel: bool,
+    /// Whether instances may send one another messages.
+    pub peers: bool,
     /// The longest hold-off a client honours; 0 where advice is not passed on.
     pub max_hold_off_us: Micros,
     /// Price of one attempt that crosses zones, per request.
@@ -179,6 +181,7 @@
             max_attempts: 3,
             second_copies: false,
             cancel: false,
+            peers: false,
             max_hold_off_us: 0,
             cross_zone_price: 0.0,
             cold_from: 0.1,
@@ -360,12 +363,31 @@
     FirstByte(RequestId),
     /// The client left: nothing is owed for this request any more.
     Expired(RequestId),
+    /// It is time to tell the other instances: to be answered by [`Action::Tell`].
+    Speak,
+    /// What the instances together make of servers: for each, the part of its listed weight to place keys by.
+    Heard(Vec<(ServerId, f64)>),
     /// A timer fell due.
     Timer(Token),
 }
 
+/// What this instance's requests came to at a server since it last told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Load {
+    /// The server.
+    pub server: ServerId,
+    /// Its listed weight.
+    pub weight: f64,
+    /// How many of them it held, in the mean over the time.
+    pub held: f64,
+    /// How many it answered, a miss included.
+    pub answered: u32,
+    /// How many it failed, turned away or left unanswered.
+    pub failed: u32,
+}
+
 /// What to do, in order.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Start an attempt.
     Send {
@@ -410,4 +432,6 @@
     CloseIdle(ServerId),
     /// Subscribe to the server list.
     Watch,
+    /// Tell the other instances of these, all servers that may be sent to, and hand back [`Event::Heard`].
+    Tell(Vec<Load>),
 }
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -18,6 +18,7 @@
 const CUT_LATE: f64 = 0.95; // and after late answers, which were served and stored: gently
 const BAD_SHARE: f64 = 0.45; // smoothed share of bad outcomes that cuts: one slow fetch is no congestion
 const BROKEN_GAIN: f64 = 0.1; // weight of a reset in it: connections also break when nothing is slow
+const FETCH_PART: (f64, f64, f64) = (0.15, 0.02, 1.0); // of the aim, for a fetch alone: least, by each, most
 const CLOSE_SHARE: f64 = 0.3; // from this smoothed share on, connections to the origin are not kept idle
 const LOW_WORTH: f64 = 0.5; // at most this part of the best read's worth passes a zero wait
 const BOUND_FACTOR: f64 = 1.25; // in-flight bound: this many times the server's share of the mean ...
@@ -164,13 +165,11 @@
     /// An instance that has just started and knows only its settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         let local_first = settings.zones > 1 && settings.cross_zone_price >= LOCAL_PRICE;
-        let rng = fastrand::Rng::with_seed(seed);
-        let tenants = vec![Lately::default(); settings.tenants.len()];
         Self {
             now,
+            rng: fastrand::Rng::with_seed(seed),
+            tenants: vec![Lately::default(); settings.tenants.len()],
             settings,
-            rng,
-            tenants,
             local_first,
             retries: RETRY_STORE,
             cuts: RETRY_STORE,
@@ -194,6 +193,8 @@
             Event::FirstByte(id) => self.close(id, false),
             Event::Expired(id) => self.close(id, true),
             Event::Timer(Token(token)) => self.timer(token),
+            Event::Speak => self.out.push(Action::Tell(self.fleet.take_loads(now))),
+            Event::Heard(parts) => self.fleet.set_parts(&parts),
         }
         out.append(&mut self.out);
     }
@@ -237,7 +238,7 @@
                 continue;
             }
             let unit = (mix(key.0 ^ mix(server.entry.id.0)) >> 11) as f64 / (1_u64 << 53) as f64;
-            let mut item = (-unit.max(1e-18).ln() / (server.weight * server.warmth), slot);
+            let mut item = (-unit.max(1e-18).ln() / (server.weight * server.warmth * server.part), slot);
             if self.local_first && server.entry.zone != self.settings.zone {
                 item.0 *= FAR;
             }
@@ -274,12 +275,6 @@
         let own = f64::from(server.inflight);
         if server.answered { own } else { own.max(self.mean()) }
     }
-    /// Listed as ready, and not out of use; after its time out of use it is on trial with one request.
-    fn usable(&self, slot: u32) -> bool {
-        let server = &self.fleet.servers[slot as usize];
-        let trial = self.now >= server.out_until && server.inflight == 0;
-        server.entry.presence == Presence::Ready && (server.out_until == 0 || trial)
-    }
     /// Guards a warming server against hot keys and all-cold fleets: a ramped part of each balancer's reads.
     fn cold_permit(&mut self, slot: u32) -> bool {
         let server = &mut self.fleet.servers[slot as usize];
@@ -307,7 +302,7 @@
         let hot = spread.min(ranks.len());
         ranks[..hot].rotate_left(self.rng.usize(..hot.max(1)));
         let tried_at = |slot: u32| tried.iter().any(|a| a.slot == slot && !a.stale);
-        ranks.retain(|&slot| self.usable(slot) && !tried_at(slot));
+        ranks.retain(|&slot| self.fleet.usable(slot, self.now) && !tried_at(slot));
         if !tried.is_empty() {
             // Few attempts are left: first those that do not fail by fits and starts, by their ranks.
             ranks.sort_by_key(|&slot| self.fleet.servers[slot as usize].faults > FAULTY);
@@ -318,7 +313,8 @@
         // All are out of bounds: the one with the fewest in flight, ties going to the better rank.
         ranks.retain(|&slot| self.cold_permit(slot));
         let fewest = ranks.iter().copied().min_by(|&a, &b| self.count(a).total_cmp(&self.count(b)));
-        let warm = |slot: u32| self.fleet.servers[slot as usize].warmth >= 1.0 && self.usable(slot);
+        let warm =
+            |slot: u32| self.fleet.servers[slot as usize].warmth >= 1.0 && self.fleet.usable(slot, self.now);
         let wide = || self.rank(key, |slot| warm(slot) && !tried_at(slot));
         fewest.or_else(|| Some(wide()).filter(|row| row.len > 0).map(|row| row.slots[0]))
     }
@@ -408,7 +404,7 @@
         open.attempts.push(Attempt { cut_short, ..Attempt::new(slot, now, to_origin, &entry) });
         (open.phase, open.due) = (Phase::Sent, if impatient { now + patience } else { Micros::MAX });
         let server = &mut self.fleet.servers[slot as usize];
-        server.inflight += 1;
+        server.board(now, 1);
         server.cold_tokens -= 1.0;
         self.inflight += u32::from(!to_origin);
         self.out.push(Action::Send { id, server: entry.id, timeout_us: u64::from(cut_short) * patience });
@@ -548,31 +544,30 @@
         let attempt = &mut open.attempts[n];
         let server = &self.fleet.servers[attempt.slot as usize];
         let budget = match attempt.sent {
-            sent if server.newest[1] > sent => &mut self.retries,
-            sent if server.heard < sent => &mut self.cuts,
-            _ => return self.look_again(id, left / 2),
+            sent if server.newest[1] > sent => Some(&mut self.retries),
+            sent if server.heard < sent => Some(&mut self.cuts),
+            _ => None,
+        };
+        let Some(budget) = budget.filter(|budget| **budget >= 1.0) else {
+            let again = left / 2 > self.settings.tick_us;
+            return if again {
+                self.hold(id, Phase::Sent, now + left / 2)
+            };
         };
-        if *budget < 1.0 {
-            return self.look_again(id, left / 2);
-        }
         // Guards a try that is cut short against an empty budget at its end: its repeat is set aside with it.
         *budget -= 1.0;
         attempt.cut_short = true;
         self.out.push(Action::Cancel { id, attempt: n as u16 });
     }
 
-    fn look_again(&mut self, id: RequestId, wait: Micros) {
-        if let Some(open) = self.open.get_mut(&id).filter(|_| wait > self.settings.tick_us) {
-            open.due = self.now + wait;
-            self.set_timer(wait, id.0);
-        }
-    }
-
     /// Books the end of an attempt, and goes on if it left the request unanswered.
     fn ended(&mut self, id: RequestId, n: u16, outcome: Outcome, latency: Micros, flags: (bool, bool, bool)) {
         let (finished, pending, stale) = flags;
         let Some(open) = self.open.get_mut(&id) else { return };
-        let (in_time, done) = (self.now <= open.aim, finished || open.phase == Phase::Done);
+        let done = finished || open.phase == Phase::Done;
+        // What was lost at jammed cache servers before is no fault of a fetch that took a part of the aim.
+        let part = (FETCH_PART.1 * f64::from(self.settings.siblings)).clamp(FETCH_PART.0, FETCH_PART.2);
+        let in_time = self.now <= open.aim || latency as f64 <= part * open.aim_span();
         let Some(ended) = open.attempts.get_mut(n as usize).filter(|a| a.outcome.is_none()) else { return };
         let (slot, to_origin, sent, cut) = (ended.slot, ended.to_origin, ended.sent, ended.cut_short);
         let outcome = if cut && outcome == Outcome::Cancelled { Outcome::Timeout } else { outcome };
@@ -580,7 +575,7 @@
         // What was set aside becomes the repeat of the try that was cut, or is returned.
         let back = if outcome == Outcome::Timeout { &mut self.retries } else { &mut self.cuts };
         *back = (*back + f64::from(u8::from(cut))).min(RETRY_STORE + 1.0);
-        self.fleet.servers[slot as usize].inflight -= 1;
+        self.fleet.servers[slot as usize].board(self.now, -1);
         if !matches!(outcome, Outcome::Moot | Outcome::Cancelled | Outcome::Timeout | Outcome::ConnectFailed)
         {
             self.fleet.servers[slot as usize].hear(self.now, sent);
@@ -646,6 +641,7 @@
     fn judge(&mut self, slot: u32, outcome: Outcome) {
         let server = &mut self.fleet.servers[slot as usize];
         let (now, unreachable) = (self.now, outcome == Outcome::ConnectFailed);
+        server.book_end(outcome);
         match outcome {
             Outcome::Ok | Outcome::Miss => {
                 server.answered = true;
--- a/crates/decide/src/records.rs
+++ b/crates/decide/src/records.rs
@@ -1,7 +1,7 @@
 //! The records that the decision module keeps: plain data and look-ups, no decisions.
 
 use crate::api::{
-    CellId, Class, Effect, Key, Micros, Mode, Outcome, Presence, Reason, Request, Scope, ServerEntry,
+    CellId, Class, Effect, Key, Load, Micros, Mode, Outcome, Presence, Reason, Request, Scope, ServerEntry,
     ServerId, Settings, ZoneId,
 };
 use rustc_hash::FxHashMap;
@@ -49,7 +49,10 @@
     pub(crate) is_origin: bool,
     pub(crate) weight: f64, // as listed, where that is a lasting size
     pub(crate) warmth: f64, // the part of its work that it can surely do, by the stated warm-up
+    pub(crate) part: f64,   // of its weight, by what the instances together make of it
     pub(crate) inflight: u32,
+    held: (Micros, Micros), // when that last changed, and its sum over time, since this instance last told
+    pub(crate) ended: (u32, u32), // and how many were answered, and how many were not
     pub(crate) answered: bool,
     pub(crate) heard: Micros,       // when it last answered anything
     pub(crate) newest: [Micros; 2], // when those were sent that it answered and that were sent last
@@ -63,6 +66,20 @@
 }
 
 impl Server {
+    /// Books attempts that begin or end there.
+    pub(crate) fn board(&mut self, now: Micros, change: i32) {
+        let (since, sum) = self.held;
+        self.held = (now, sum + now.saturating_sub(since) * Micros::from(self.inflight));
+        self.inflight = self.inflight.saturating_add_signed(change);
+    }
+    /// Counts the end of an attempt, for the other instances. Time-outs show in what it holds.
+    pub(crate) fn book_end(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Ok | Outcome::Miss => self.ended.0 += 1,
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => self.ended.1 += 1,
+            _ => {}
+        }
+    }
     /// Books any answer to an attempt sent at `sent`.
     pub(crate) fn hear(&mut self, now: Micros, sent: Micros) {
         self.heard = now;
@@ -85,6 +102,7 @@
     pub(crate) listed: f64, // sum of weights
     pub(crate) ramped: f64, // and of the same cut by warm-up
     pub(crate) next_ramp: Option<Micros>,
+    told: Micros, // when the other instances were last told of loads
 }
 
 impl Fleet {
@@ -101,7 +119,10 @@
             is_origin: false,
             weight: 1.0,
             warmth: 1.0,
+            part: 1.0,
             inflight: 0,
+            held: (0, 0),
+            ended: (0, 0),
             answered: entry.online_since == 0,
             heard: 0,
             newest: [0; 2],
@@ -118,7 +139,7 @@
             if server.entry.online_since == entry.online_since {
                 server.entry = entry;
             } else {
-                fresh.inflight = server.inflight;
+                (fresh.inflight, fresh.held) = (server.inflight, server.held);
                 *server = fresh;
             }
             return;
@@ -138,6 +159,39 @@
         self.index.insert(entry.id, slot as u32);
     }
 
+    /// Listed as ready, and not out of use; after its time out of use it is on trial with one request.
+    pub(crate) fn usable(&self, slot: u32, now: Micros) -> bool {
+        let server = &self.servers[slot as usize];
+        let trial = now >= server.out_until && server.inflight == 0;
+        server.entry.presence == Presence::Ready && (server.out_until == 0 || trial)
+    }
+
+    /// What this instance's requests came to at each ready cache server since it was last asked.
+    pub(crate) fn take_loads(&mut self, now: Micros) -> Vec<Load> {
+        let since = mem::replace(&mut self.told, now);
+        let ready = |s: &&mut Server| s.entry.presence == Presence::Ready && !s.is_origin;
+        let span_us = now.saturating_sub(since).max(1) as f64;
+        let load = |server: &mut Server| {
+            server.board(now, 0);
+            let held = mem::take(&mut server.held.1) as f64 / span_us;
+            let (answered, failed) = mem::take(&mut server.ended);
+            Load { server: server.entry.id, weight: server.weight * server.warmth, held, answered, failed }
+        };
+        self.servers.iter_mut().filter(ready).map(load).collect()
+    }
+
+    /// Takes in the parts that servers keep of their weights; rows of the table then rank again.
+    pub(crate) fn set_parts(&mut self, parts: &[(ServerId, f64)]) {
+        for (id, part) in parts {
+            let slot = self.index.get(id).map(|slot| *slot as usize);
+            let Some(server) = slot.and_then(|slot| self.servers.get_mut(slot)) else { continue };
+            if server.part != *part {
+                server.part = *part;
+                self.generation += 1;
+            }
+        }
+    }
+
     /// Brings weights and sums up to date; a new generation tells table rows to rank again.
     pub(crate) fn reweigh(&mut self, now: Micros, settings: &Settings) {
         self.generation += 1;
@@ -276,6 +330,10 @@
             attempts: Vec::with_capacity(2),
         }
     }
+    /// From its first attempt to its aim, in microseconds.
+    pub(crate) fn aim_span(&self) -> f64 {
+        self.attempts.first().map_or(0.0, |first| self.aim.saturating_sub(first.sent) as f64)
+    }
     pub(crate) fn home(&self) -> Option<u32> {
         self.attempts.iter().find(|a| a.outcome == Some(Outcome::Miss)).map(|a| a.slot)
     }
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -147,6 +147,7 @@
             max_attempts: facts.get("permissions.maxAttempts", plain.max_attempts, "a whole number")?,
             second_copies: facts.flag("permissions.secondCopies", plain.second_copies)?,
             cancel: facts.flag("permissions.cancel", plain.cancel)?,
+            peers: facts.flag("permissions.peers", plain.peers)?,
             max_hold_off_us: hold_off,
             cross_zone_price: facts.number("prices.crossZone", plain.cross_zone_price)?,
             cold_from: facts.number("rules.coldFrom", plain.cold_from)?.min(1.0),
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -260,3 +260,34 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn what_is_held_and_how_it_ended_is_told_once_and_parts_move_keys_of_that_server_alone() {
+    let mut rig = Rig::new(settings(), 1, 9);
+    let before = homes(&mut rig, 0..600, 1);
+    rig.feed(Event::Speak);
+    let home = rig.sent_to(request(9_000, 0, 5)).unwrap();
+    rig.now += 100 * MS;
+    rig.end(9_000, 0, Outcome::Error);
+    rig.now += 100 * MS;
+    let told = |actions: Vec<Action>| match actions.into_iter().next() {
+        Some(Action::Tell(loads)) => loads,
+        other => panic!("{other:?}"),
+    };
+    let loads = told(rig.feed(Event::Speak));
+    assert_eq!(loads.len(), 9, "every cache server, and not the origin");
+    let load = loads.iter().find(|l| l.server == ServerId(home)).unwrap();
+    assert!((load.held - 0.5).abs() < 1e-9 && load.failed == 1, "half the time: {load:?}");
+    rig.now += 100 * MS;
+    let again = told(rig.feed(Event::Speak));
+    let load = again.iter().find(|l| l.server == ServerId(home)).unwrap();
+    assert_eq!((load.answered, load.failed), (0, 0), "each end is told once");
+
+    let mut rig = Rig::new(settings(), 1, 9);
+    rig.feed(Event::Heard(vec![(ServerId(3), 0.1), (ServerId(77), 0.1)])); // one of them is not listed
+    let after = homes(&mut rig, 0..600, 1);
+    let of = |homes: &BTreeMap<u64, u64>| homes.values().filter(|s| **s == 3).count();
+    assert!(of(&after) * 4 < of(&before), "{} of {}", of(&after), of(&before));
+    let strays = before.iter().filter(|(key, server)| **server != 3 && after[key] != **server).count();
+    assert_eq!(strays, 0, "keys of other servers stay where they are");
+}
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -422,7 +422,7 @@
             Action::Timer { delay_us, token } => {
                 self.at(self.now + delay_us, Happening::Timer(gateway, token))
             }
-            Action::CloseIdle(_) | Action::Watch => {}
+            Action::CloseIdle(_) | Action::Watch | Action::Tell(_) => {}
         }
     }
 
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -5,6 +5,7 @@
 use crate::call::{Answer, Call};
 use crate::peer::{self, Connection, Ended, Lines, Pools, Try};
 use crate::setup::{Bounds, Config};
+use crate::siblings::Talk;
 use crate::upstream_group::{Peer, UpstreamGroup, server_id};
 use bytes::Bytes;
 use decide::api::{
@@ -231,6 +232,7 @@
 }
 
 enum Due {
+    Speak,
     Module(Token),
     Overdue(RequestId),
 }
@@ -251,12 +253,14 @@
     fragile: Vec<bool>,
     bounds: Bounds,
     events: VecDeque<Event>,
+    /// The other balancers; none where they may not be told anything.
+    talk: Option<Talk>,
 }
 
 impl Engine {
     /// The core, and the handle for its fronts. The list known from before goes in as a cached one.
     #[must_use]
-    pub fn new(config: &Config) -> (Self, Handle) {
+    pub fn new(config: &Config, talk: Option<Talk>) -> (Self, Handle) {
         let (sender, inputs) = mpsc::unbounded_channel();
         let (next, ready) = Default::default();
         let claims = Rc::new(Claims::new(&config.bounds));
@@ -277,11 +281,13 @@
             fragile: config.settings.classes.iter().map(|class| class.effect == Effect::Fragile).collect(),
             bounds: config.bounds,
             events: VecDeque::new(),
+            talk,
         };
         if let Some(known) = &config.known {
             engine.told(known, true);
             engine.settle();
         }
+        engine.speak_later();
         (engine, handle)
     }
 
@@ -301,16 +307,31 @@
                             self.fell_due(RequestId(token.0), key);
                             self.events.push_back(Event::Timer(token));
                         }
+                        Due::Speak => self.speak(),
                         Due::Overdue(id) => {
                             self.fell_due(id, key);
                             self.overdue(id);
                         }
                     }
                 }
+                (datagram, from) = async {
+                    match &self.talk {
+                        Some(talk) => talk.next().await,
+                        None => std::future::pending().await,
+                    }
+                } => {
+                    let now = self.now();
+                    if let Some(talk) = &mut self.talk {
+                        talk.take(now, &datagram, from);
+                    }
+                }
                 _ = sweep.tick() => self.pools.sweep(),
                 _ = report.tick() => {
                     let (open, so_far) = self.pools.counts();
                     log::info!("{} requests open; {open} connections open; so far {so_far:?}", self.contexts.len());
+                    if let Some(talk) = &self.talk {
+                        log::info!("other balancers so far: {:?}", talk.counts());
+                    }
                     log::info!("answers so far: {}", self.handle.tally.borrow());
                 }
                 () = &mut first_list, if !self.handle.ready() => {
@@ -355,6 +376,17 @@
         }
     }
 
+    fn speak(&mut self) {
+        self.events.push_back(Event::Speak);
+        self.speak_later();
+    }
+
+    fn speak_later(&mut self) {
+        if let Some(talk) = &mut self.talk {
+            self.timers.insert(Due::Speak, talk.pause());
+        }
+    }
+
     fn become_ready(&mut self) {
         if !self.handle.ready.replace(true) {
             log::info!("ready");
@@ -524,6 +556,12 @@
             }
             Action::CloseIdle(server) => self.pools.close_idle(server),
             Action::Watch => {} // the watch is always on
+            Action::Tell(loads) => {
+                let now = self.now();
+                if let Some(talk) = &mut self.talk {
+                    self.events.push_back(talk.tell(now, &loads));
+                }
+            }
         }
     }
 
@@ -604,12 +642,13 @@
             settings: Settings { classes: vec![class], ..Settings::default() },
             names: Names::default(),
             bounds,
+            siblings: None,
         }
     }
 
     #[tokio::test(start_paused = true)]
     async fn an_answered_request_leaves_no_timer_behind() {
-        let (mut engine, handle) = Engine::new(&config());
+        let (mut engine, handle) = Engine::new(&config(), None);
         for n in 0..1_000 {
             let word = Bytes::from(format!("{n:x}"));
             let (command, key, id, options) = (word.clone(), word.clone(), word.clone(), word.clone());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod peer;
 pub mod seldom;
 pub mod setup;
+pub mod siblings;
 pub mod upstream_group;
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -1,5 +1,6 @@
 //! What the core is set up with: names, limits, the settings of the decision module.
 
+use crate::siblings::Siblings;
 use decide::api::Settings;
 use proto::discovery::List;
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
     pub names: Names,
     /// Limits and times of connections.
     pub bounds: Bounds,
+    /// The other balancers, where messages between them are allowed.
+    pub siblings: Option<Siblings>,
 }
 
 /// Names, each at the place that is its number in the module.
--- /dev/null
+++ b/crates/hearsay/tests/hearsay.rs
@@ -0,0 +1,206 @@
+//! What is believed of what is heard.
+
+use decide::api::{Load, ServerId};
+use hearsay::wire::{MAX_BYTES, MAX_ENTRIES, Report, Short, Stamp, Word};
+use hearsay::{FRESH_US, Hearsay, LEAST, MOST, Micros, PAUSE_US};
+use proptest::prelude::*;
+
+const SERVERS: u64 = 6;
+
+fn load(server: u64, held: f64) -> Load {
+    Load { server: ServerId(server), weight: 1.5, held, answered: 2, failed: 0 }
+}
+
+/// What each balancer holds: `held` at server 0, one request at every other.
+fn loads(held: f64) -> Vec<Load> {
+    (0..SERVERS).map(|n| load(n, if n == 0 { held } else { 1.0 })).collect()
+}
+
+fn part(parts: &[(ServerId, f64)], server: u64) -> f64 {
+    parts.iter().find(|(id, _)| *id == ServerId(server)).unwrap().1
+}
+
+/// A fleet of balancers that tell one another the same things, as long as `lost` says no.
+struct Fleet {
+    all: Vec<Hearsay>,
+    now: Micros,
+}
+
+impl Fleet {
+    fn new(balancers: usize) -> Self {
+        let now = 1_000_000_000;
+        Self { all: (0..balancers).map(|n| Hearsay::new(n, balancers, now)).collect(), now }
+    }
+    /// One turn of each; the parts that the first one yields.
+    fn round(&mut self, loads: &[Load], lost: impl Fn(usize, usize) -> bool) -> Vec<(ServerId, f64)> {
+        self.now += PAUSE_US;
+        let turns: Vec<_> = self.all.iter_mut().map(|it| it.turn(self.now, loads)).collect();
+        for (from, turn) in turns.iter().enumerate() {
+            for (to, hearer) in self.all.iter_mut().enumerate() {
+                if to != from && !lost(from, to) {
+                    hearer.hear(self.now, from, &turn.datagram);
+                }
+            }
+        }
+        turns[0].parts.clone()
+    }
+    fn rounds(
+        &mut self, n: usize, loads: &[Load], lost: impl Fn(usize, usize) -> bool,
+    ) -> Vec<(ServerId, f64)> {
+        (0..n).map(|_| self.round(loads, &lost)).last().unwrap()
+    }
+}
+
+#[test]
+fn a_host_that_holds_more_than_its_part_loses_keys_and_the_others_agree() {
+    let mut fleet = Fleet::new(20);
+    let parts = fleet.rounds(12, &loads(4.0), |_, _| false);
+    assert!(part(&parts, 0) < 0.3, "{parts:?}");
+    assert!((1..SERVERS).all(|n| part(&parts, n) > 1.0), "{parts:?}");
+    let (now, loads) = (fleet.now + PAUSE_US, loads(4.0));
+    let all: Vec<f64> = fleet.all.iter_mut().map(|it| part(&it.turn(now, &loads).parts, 0)).collect();
+    let (least, most) = all.iter().fold((f64::MAX, 0.0_f64), |(a, b), p| (a.min(*p), b.max(*p)));
+    assert!(most / least < 1.2, "balancers that hear the same must place keys alike: {all:?}");
+}
+
+#[test]
+fn a_host_that_fails_half_of_what_it_is_sent_loses_keys_though_it_holds_little() {
+    let mut fleet = Fleet::new(20);
+    let mut loads = loads(1.0);
+    (loads[0].answered, loads[0].failed) = (1, 1);
+    let parts = fleet.rounds(12, &loads, |_, _| false);
+    assert!(part(&parts, 0) < 0.2, "{parts:?}");
+}
+
+#[test]
+fn no_part_leaves_its_bounds_and_all_come_back_when_the_cause_has_gone() {
+    let mut fleet = Fleet::new(10);
+    let parts = fleet.rounds(40, &loads(1_000.0), |_, _| false);
+    assert!(parts.iter().all(|(_, part)| (LEAST..=MOST).contains(part)), "{parts:?}");
+    let parts = fleet.rounds(60, &loads(1.0), |_, _| false);
+    assert!(parts.iter().all(|(_, part)| (part - 1.0).abs() < 0.15), "{parts:?}");
+}
+
+#[test]
+fn with_every_message_lost_every_host_keeps_its_whole_weight() {
+    let mut fleet = Fleet::new(20);
+    let parts = fleet.rounds(12, &loads(4.0), |_, _| true);
+    assert!(parts.iter().all(|(_, part)| *part == 1.0), "{parts:?}");
+    // And again when they are lost only after a while.
+    fleet.rounds(12, &loads(4.0), |_, _| false);
+    let parts = fleet.rounds(1 + (FRESH_US / PAUSE_US) as usize, &loads(4.0), |_, _| true);
+    assert!(parts.iter().all(|(_, part)| *part == 1.0), "{parts:?}");
+}
+
+#[test]
+fn a_third_of_the_messages_lost_changes_little() {
+    let mut fleet = Fleet::new(21);
+    let whole = part(&fleet.rounds(12, &loads(4.0), |_, _| false), 0);
+    let mut fleet = Fleet::new(21);
+    let lossy = part(&fleet.rounds(12, &loads(4.0), |from, to| (from + 2 * to) % 3 == 0), 0);
+    assert!((lossy / whole - 1.0).abs() < 0.4, "{whole} {lossy}");
+}
+
+#[test]
+fn one_balancer_that_lies_does_not_put_out_a_good_host() {
+    let mut fleet = Fleet::new(100);
+    let honest = loads(1.0);
+    let liar = Report {
+        stamp: Stamp::first(fleet.now),
+        words: vec![(ServerId(0).into(), Word { held: 15.9, answered: 0, failed: 15 })],
+    };
+    let mut stamp = liar.stamp;
+    let mut parts = Vec::new();
+    for _ in 0..20 {
+        parts = fleet.round(&honest, |from, _| from == 99);
+        stamp = stamp.next();
+        let now = fleet.now;
+        fleet.all[0].hear(now, 99, &Report { stamp, ..liar.clone() }.encode());
+    }
+    assert!(part(&parts, 0) > 0.5, "{parts:?}");
+}
+
+#[test]
+fn a_report_counts_once_in_order_and_not_for_long() {
+    let mut it = Hearsay::new(0, 3, 0);
+    let report = |life: u16, number: u16| {
+        let words = vec![(ServerId(0).into(), Word { held: 9.0, answered: 1, failed: 0 })];
+        Report { stamp: Stamp { life, number }, words }.encode()
+    };
+    it.hear(1, 1, &report(7, 5));
+    it.hear(2, 1, &report(7, 5)); // doubled
+    it.hear(3, 1, &report(7, 4)); // late
+    it.hear(4, 1, &report(6, 900)); // of a former life
+    assert_eq!((it.counts().heard, it.counts().old), (1, 3));
+    it.hear(5, 1, &report(7, 6));
+    it.hear(6, 1, &report(8, 0)); // restarted
+    it.hear(7, 2, &report(u16::MAX, u16::MAX));
+    it.hear(8, 2, &report(u16::MAX, 0)); // the number has come round
+    assert_eq!((it.counts().heard, it.counts().old), (5, 3));
+    it.hear(9 + FRESH_US, 1, &report(6, 0)); // after a silence whatever comes is news
+    assert_eq!(it.counts().heard, 6);
+    it.hear(9 + FRESH_US, 0, &report(9, 9)); // from itself
+    it.hear(9 + FRESH_US, 3, &report(9, 9)); // from none of the balancers
+    assert_eq!(it.counts().strangers, 2);
+}
+
+#[test]
+fn a_lone_balancer_and_one_of_two_hundred_take_their_turns() {
+    for balancers in [1, 200] {
+        let mut it = Hearsay::new(0, balancers, 0);
+        let turn = it.turn(1_000_000, &loads(3.0));
+        assert!(turn.parts.iter().all(|(_, part)| *part == 1.0));
+        assert!(it.turn(2_000_000, &[]).parts.is_empty(), "no servers, no words");
+        assert!(it.pause(0.0) < it.pause(1.0));
+    }
+}
+
+#[test]
+fn ten_thousand_busy_servers_fit_one_datagram_the_busiest_first() {
+    let words = (0..10_000).map(|n| (Short(n), Word { held: f64::from(n) / 1e3, answered: 99, failed: 99 }));
+    let datagram = Report { stamp: Stamp::first(0), words: words.collect() }.encode();
+    assert!(datagram.len() <= MAX_BYTES);
+    let back = Report::decode(&datagram).unwrap();
+    assert_eq!(back.words.len(), MAX_ENTRIES);
+    assert!(back.words.iter().all(|(_, word)| word.held > 9.8), "{:?}", back.words);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(16), ..ProptestConfig::with_cases(512) })]
+
+    #[test]
+    fn no_datagram_panics_or_leaves_a_part_out_of_bounds(
+        datagrams in prop::collection::vec((0_usize..5, prop::collection::vec(any::<u8>(), 0..300)), 0..20)
+    ) {
+        let mut it = Hearsay::new(0, 4, 0);
+        for (n, (from, bytes)) in datagrams.iter().enumerate() {
+            let mut bytes = bytes.clone();
+            if let (Some(first), 0) = (bytes.first_mut(), n % 2) {
+                *first = hearsay::wire::VERSION; // else hardly one is read
+            }
+            it.hear(n as Micros * 100_000, *from, &bytes);
+            let turn = it.turn(n as Micros * 100_000 + 1, &loads(0.5));
+            prop_assert!(turn.datagram.len() <= MAX_BYTES);
+            prop_assert!(turn.parts.iter().all(|(_, part)| (LEAST..=MOST).contains(part)));
+        }
+        let counts = it.counts();
+        prop_assert_eq!(counts.heard + counts.unreadable + counts.old + counts.strangers, datagrams.len() as u64);
+    }
+
+    #[test]
+    fn what_is_written_is_read_to_the_nearest_step(
+        words in prop::collection::vec((any::<u16>(), 0.1_f64..15.9, 0_u32..16, 0_u32..16), 0..MAX_ENTRIES),
+        life: u16, number: u16,
+    ) {
+        let word = |(_, held, answered, failed): &(u16, f64, u32, u32)| Word { held: *held, answered: *answered, failed: *failed };
+        let report = Report {
+            stamp: Stamp { life, number },
+            words: words.iter().map(|w| (Short(w.0), word(w))).collect(),
+        };
+        let back = Report::decode(&report.encode()).unwrap();
+        prop_assert_eq!(back.stamp, report.stamp);
+        prop_assert_eq!(back.words.len(), report.words.len());
+        let sum = |r: &Report| r.words.iter().map(|(_, w)| w.held).sum::<f64>();
+        prop_assert!((sum(&back) - sum(&report)).abs() <= report.words.len() as f64 / 32.0 + 1e-9);
+    }
+}
--- a/crates/spindlebeam/src/config.rs
+++ b/crates/spindlebeam/src/config.rs
@@ -3,6 +3,7 @@
 use anyhow::{Context, Result, ensure};
 use decide::api::Settings;
 use gateway::setup::{Bounds, Config, Names};
+use gateway::siblings::Siblings;
 use proto::discovery::List;
 use serde::Deserialize;
 use serde_json::Value;
@@ -22,6 +23,9 @@
     limits: Limits,
     known: Option<List>,
     settings: Value,
+    peer_listen: Option<String>,
+    peers: Option<Vec<String>>,
+    peers_all: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -77,6 +81,21 @@
     parse(&json).with_context(named)
 }
 
+/// Where the other balancers are; none where this one is not told, or is the only one.
+fn siblings(file: &File) -> Result<Option<Siblings>> {
+    let addr = |field: String, text: &String| -> Result<SocketAddr> {
+        text.parse().with_context(|| format!("{field}: {text:?} is no address and port"))
+    };
+    let listen = file.peer_listen.as_ref().map(|text| addr("peer_listen".into(), text)).transpose()?;
+    let all = file.peers_all.as_ref().map(|text| addr("peers_all".into(), text)).transpose()?;
+    let peers = (0..).zip(file.peers.iter().flatten());
+    let each: Vec<_> = peers.map(|(n, text)| addr(format!("peers[{n}]"), text)).collect::<Result<_>>()?;
+    let me = usize::try_from(file.settings["me"].as_u64().unwrap_or_default()).unwrap_or(usize::MAX);
+    let (Some(listen), true) = (listen, each.len() > 1) else { return Ok(None) };
+    ensure!(me < each.len(), "settings.me: {me} is none of the {} balancers in peers", each.len());
+    Ok(Some(Siblings { listen, each, all, me }))
+}
+
 /// Reads the configuration.
 ///
 /// # Errors
@@ -93,6 +112,7 @@
     let micros = |name: &str, default: u64| {
         Duration::from_micros(file.settings["permissions"][name].as_u64().unwrap_or(default))
     };
+    let siblings = if settings.peers { siblings(&file)? } else { None };
     let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or_default();
     let memory = file.limits.memory_mb.saturating_mul(1 << 20);
     let open = file.settings["permissions"]["maxOpen"].as_u64().unwrap_or(20_000);
@@ -120,6 +140,7 @@
             idle: micros("connIdleUs", 10_000_000).mul_f64(0.85),
             longest: Duration::from_micros(longest),
         },
+        siblings,
         settings,
     })
 }
--- a/crates/spindlebeam/src/reload.rs
+++ b/crates/spindlebeam/src/reload.rs
@@ -41,6 +41,7 @@
     let differs = [
         ("name", old.name != new.name),
         ("listen", old.listen != new.listen),
+        ("peers, peers_all or peer_listen", old.siblings != new.siblings),
         ("limits", old.bounds != new.bounds),
         ("settings", old.settings != new.settings || old.names != new.names),
     ];
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -6,9 +6,10 @@
 use gateway::engine::Engine;
 use gateway::front::Front;
 use gateway::setup::Config;
+use gateway::siblings::Talk;
 use gateway::upstream_group;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
@@ -41,7 +42,12 @@
     let listener = socket.listen(1024)?;
     log::info!("{}: listening on {}", config.name, listener.local_addr()?);
 
-    let (engine, handle) = Engine::new(&config);
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    let talk = match &config.siblings {
+        Some(siblings) => Some(Talk::open(siblings, unix, config.seed).await?),
+        None => None,
+    };
+    let (engine, handle) = Engine::new(&config, talk);
     let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
     let core = tokio::task::spawn_local(engine.run());
     let (discovery, found_at) = watch::channel(config.discovery);
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -32,9 +32,13 @@
         seed: u64,
         /// Its settings.
         settings: Box<Settings>,
+        /// Its number among the instances of its tier.
+        me: usize,
     },
     /// An instance was killed.
     Stop,
+    /// Another instance says something.
+    Said(usize, Vec<u8>),
     /// Something for the module.
     Module(Event),
     /// Legal, but nothing the module acts on.
@@ -246,9 +250,11 @@
             let text = std::str::from_utf8(slice("the settings", 11, 1)?);
             let text = text.map_err(|_| WireError::NotText { record })?;
             let settings = text.parse().map_err(|source| WireError::Setting { record, source })?;
-            WireEvent::Start { seed: r.u64(3), settings: Box::new(settings) }
+            let me = text.lines().find_map(|line| line.strip_prefix("me="));
+            let me = me.and_then(|me| me.parse().ok()).unwrap_or_default();
+            WireEvent::Start { seed: r.u64(3), settings: Box::new(settings), me }
         }
-        10 => slice("the message", 5, 1).map(|_| WireEvent::Unused)?,
+        10 => WireEvent::Said(r.u16(3).into(), slice("the message", 5, 1)?.to_vec()),
         code => return Err(unknown("event code", code.into())),
     })
 }
@@ -277,6 +283,7 @@
 #[derive(Debug, Default)]
 pub struct Reply {
     records: Vec<u8>,
+    tail: Vec<u8>,
     count: u32,
 }
 
@@ -321,7 +328,23 @@
                 r[3] = 1;
                 11
             }
+            Action::Tell(_) => return, // in words of its own: see `say`
         };
+        self.record(code, r);
+    }
+
+    /// Appends a message of an instance to all others.
+    pub fn say(&mut self, instance: Instance, message: &[u8]) {
+        let mut r = [0_u8; ACTION_BYTES];
+        r[1..3].copy_from_slice(&instance.0.to_be_bytes());
+        r[3..5].fill(0xff);
+        put_u32(&mut r, 5, self.tail.len() as u64);
+        put_u32(&mut r, 9, message.len() as u64);
+        self.tail.extend_from_slice(message);
+        self.record(8, r);
+    }
+
+    fn record(&mut self, code: u8, mut r: [u8; ACTION_BYTES]) {
         r[0] = code;
         self.records.extend_from_slice(&r);
         self.count += 1;
@@ -330,11 +353,13 @@
     /// The finished frame.
     #[must_use]
     pub fn into_frame(self) -> Vec<u8> {
-        let mut frame = Vec::with_capacity(8 + self.records.len());
-        let len = u32::try_from(self.records.len() + 4).unwrap_or(u32::MAX);
+        let bytes = self.records.len() + self.tail.len();
+        let mut frame = Vec::with_capacity(8 + bytes);
+        let len = u32::try_from(bytes + 4).unwrap_or(u32::MAX);
         frame.extend_from_slice(&len.to_be_bytes());
         frame.extend_from_slice(&self.count.to_be_bytes());
         frame.extend_from_slice(&self.records);
+        frame.extend_from_slice(&self.tail);
         frame
     }
 }
