Grow the pauses between calls to a discovery that turns balancers away

At fault: BACKOFF in upstream_group.rs, at most 500 ms between calls, on the belief that asking costs nothing: our own calls kept discovery down.

An answer of 503 or 429 now doubles the pause from 0.4 s to 6.4 s, each drawn from half to one and a half of it; other failures pause as before.

--- a/crates/gateway/src/upstream_group.rs
+++ b/crates/gateway/src/upstream_group.rs
@@ -25,8 +25,12 @@
 /// The agent is on this machine and replies at once, or is silent while discovery is down: a whole list that takes
 /// longer is asked for again. Guards a new agent's list, which counts as told 4 s after SIGHUP.
 const FIRST_ANSWER: Duration = Duration::from_secs(1);
-/// Waits between attempts to reach the agent: the first, and the longest. Asking costs it nothing.
+/// Waits between attempts to reach the agent: the first, and the longest. They double, and each is drawn from half to one
+/// and a half of that. Guards discovery, which may be one small service for a hundred balancers, against being kept down by
+/// those that ask: with at most 500 ms between, it answered 503 for a whole day.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// The same where discovery answers and turns us away: it is up, and has too much to do.
+const TURNED_AWAY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(6_400));
 
 /// A peer or the origin, as last listed.
 #[derive(Debug)]
@@ -173,18 +177,31 @@
 /// Follows the agent at one address. A broken watch is begun again from the last revision. An agent at another
 /// address counts its own revisions, so that its first answer is a whole list.
 async fn follow_at(addr: SocketAddr, told: &impl Fn(List)) -> Infallible {
-    let (mut revision, mut wait) = (None, BACKOFF.0);
+    let (mut revision, mut wait, mut turned_away) = (None, BACKOFF.0, TURNED_AWAY.0);
     loop {
         let mut healthy = false;
         match follow_once(addr, &mut revision, &mut healthy, told).await {
             Ok(never) => match never {},
-            Err(error) => log::warn!("discovery: {error:#}; the list stays as it is"),
+            Err(error) => {
+                log::warn!("discovery: {error:#}; the list stays as it is");
+                if healthy {
+                    (wait, turned_away) = (BACKOFF.0, TURNED_AWAY.0);
+                }
+                let too_busy = error.downcast_ref::<Status>().is_some_and(|it| it.0 == 503 || it.0 == 429);
+                let (pause, most) =
+                    if too_busy { (&mut turned_away, TURNED_AWAY.1) } else { (&mut wait, BACKOFF.1) };
+                sleep(pause.mul_f64(fastrand::f64() + 0.5)).await;
+                *pause = (*pause * 2).min(most);
+            }
         }
-        wait = if healthy { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
-        sleep(wait.mul_f64(fastrand::f64() + 0.5)).await;
     }
 }
 
+/// An answer of the agent that is none.
+#[derive(Debug, thiserror::Error)]
+#[error("status {0}")]
+struct Status(u16);
+
 async fn dial(addr: SocketAddr, path: &str) -> Result<TcpStream> {
     let mut stream =
         timeout(Duration::from_secs(1), TcpStream::connect(addr)).await.context("dialling")??;
@@ -211,7 +228,7 @@
                 None => read(&mut stream, &mut buffer, FIRST_ANSWER).await?,
             }
         };
-        ensure!(head.status == 200, "status {}", head.status);
+        ensure!(head.status == 200, Status(head.status));
         let list = discovery::list(&body)?;
         log::info!("discovery: revision {}, {} members", list.revision, list.members.len());
         *revision = Some(list.revision);
@@ -223,7 +240,7 @@
     loop {
         match decoder.next(&mut buffer)? {
             None => read(&mut stream, &mut buffer, SILENCE).await?,
-            Some(Piece::Head(head)) => ensure!(head.status == 200, "status {}", head.status),
+            Some(Piece::Head(head)) => ensure!(head.status == 200, Status(head.status)),
             Some(Piece::End) => bail!("the watch ended"),
             Some(Piece::Data(part)) => {
                 lines.extend_from_slice(&part);
