Ask an overbooked discovery less often, and bring a known list up to date by the watch

Calls wait about 2 s at discovery and are then answered 503: it serves the more the fewer wait. The whole list was asked for before each watch, though known is there.

Change: the first pause after a 503 is 25 ms for each balancer of the tier (0.2 s at least), the longest four times that; a known list goes straight to the watch from its revision, and the balancer is ready once the watch is taken up.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,7 +6,7 @@
 use crate::peer::{self, Connection, Ended, Lines, Pools, Try};
 use crate::setup::{Bounds, Config};
 use crate::siblings::Talk;
-use crate::upstream_group::{Peer, UpstreamGroup, server_id};
+use crate::upstream_group::{News, Peer, UpstreamGroup, server_id};
 use bytes::Bytes;
 use decide::api::{
     Action, ClassId, Effect, Event, Key, Micros, Outcome, Reason, Request, RequestId, ServerId, TenantId,
@@ -52,7 +52,7 @@
     Left(RequestId),
     TryEnded { id: RequestId, attempt: u16, peer: Rc<Peer>, sent: Instant, ended: Ended },
     Dialled(Rc<Peer>, Option<Connection>),
-    Told(List),
+    News(News),
 }
 
 /// Final answers since the start, by how and why.
@@ -174,9 +174,9 @@
         Some(Ticket { id, name, answer, inputs: self.inputs.clone(), claims, answered: false })
     }
 
-    /// Tells the core what discovery has told.
-    pub fn told(&self, list: List) {
-        let _ = self.inputs.send(Input::Told(list));
+    /// Tells the core what is heard of discovery.
+    pub fn hear(&self, news: News) {
+        let _ = self.inputs.send(Input::News(news));
     }
 
     /// Whether the core knows whom it may send to.
@@ -368,7 +368,8 @@
                 self.try_ended(id, attempt, &peer, sent, ended)
             }
             Input::Dialled(peer, connection) => self.pools.put(&peer, connection),
-            Input::Told(list) => {
+            Input::News(News::Watching) => self.become_ready(),
+            Input::News(News::Told(list)) => {
                 self.told(&list, false);
                 self.become_ready();
                 self.dial_listed(&list);
--- a/crates/gateway/src/upstream_group.rs
+++ b/crates/gateway/src/upstream_group.rs
@@ -29,8 +29,10 @@
 /// and a half of that. Guards discovery, which may be one small service for a hundred balancers, against being kept down by
 /// those that ask: with at most 500 ms between, it answered 503 for a whole day.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
-/// The same where discovery answers and turns us away: it is up, and has too much to do.
-const TURNED_AWAY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(6_400));
+/// The same where discovery answers and turns us away: it is up, and has too much to do. The first is so much for each
+/// balancer that may be asking, and [`TURNED_AWAY_LEAST`] at least; the longest is four times that.
+const TURNED_AWAY_EACH: Duration = Duration::from_millis(25);
+const TURNED_AWAY_LEAST: Duration = Duration::from_millis(200);
 
 /// A peer or the origin, as last listed.
 #[derive(Debug)]
@@ -163,12 +165,25 @@
     }
 }
 
-/// Follows discovery for ever, at the address named last. The list stays as it is until another one has come.
-pub async fn follow(mut found_at: watch::Receiver<SocketAddr>, told: impl Fn(List)) {
+/// What of discovery is reported.
+#[derive(Debug)]
+pub enum News {
+    /// It has taken up our watch: what it has to tell is on its way.
+    Watching,
+    /// A list.
+    Told(List),
+}
+
+/// Follows discovery for ever, at the address named last. The list stays as it is until another one has come. One known
+/// from before is brought up to date by the watch alone: one call in place of two, when a hundred balancers start at once.
+pub async fn follow(
+    mut found_at: watch::Receiver<SocketAddr>, mut known: Option<u64>, balancers: u32, news: impl Fn(News),
+) {
+    let first = (TURNED_AWAY_EACH * balancers).max(TURNED_AWAY_LEAST);
     loop {
         let addr = *found_at.borrow_and_update();
         tokio::select! {
-            never = follow_at(addr, &told) => match never {},
+            never = follow_at(addr, known.take(), first, &news) => match never {},
             Ok(()) = found_at.changed() => {}
         }
     }
@@ -176,20 +191,22 @@
 
 /// Follows the agent at one address. A broken watch is begun again from the last revision. An agent at another
 /// address counts its own revisions, so that its first answer is a whole list.
-async fn follow_at(addr: SocketAddr, told: &impl Fn(List)) -> Infallible {
-    let (mut revision, mut wait, mut turned_away) = (None, BACKOFF.0, TURNED_AWAY.0);
+async fn follow_at(
+    addr: SocketAddr, known: Option<u64>, first: Duration, news: &impl Fn(News),
+) -> Infallible {
+    let (mut revision, mut wait, mut turned_away) = (known, BACKOFF.0, first);
     loop {
         let mut healthy = false;
-        match follow_once(addr, &mut revision, &mut healthy, told).await {
+        match follow_once(addr, &mut revision, &mut healthy, news).await {
             Ok(never) => match never {},
             Err(error) => {
                 log::warn!("discovery: {error:#}; the list stays as it is");
                 if healthy {
-                    (wait, turned_away) = (BACKOFF.0, TURNED_AWAY.0);
+                    (wait, turned_away) = (BACKOFF.0, first);
                 }
                 let too_busy = error.downcast_ref::<Status>().is_some_and(|it| it.0 == 503 || it.0 == 429);
                 let (pause, most) =
-                    if too_busy { (&mut turned_away, TURNED_AWAY.1) } else { (&mut wait, BACKOFF.1) };
+                    if too_busy { (&mut turned_away, first * 4) } else { (&mut wait, BACKOFF.1) };
                 sleep(pause.mul_f64(fastrand::f64() + 0.5)).await;
                 *pause = (*pause * 2).min(most);
             }
@@ -217,7 +234,7 @@
 }
 
 async fn follow_once(
-    addr: SocketAddr, revision: &mut Option<u64>, healthy: &mut bool, told: &impl Fn(List),
+    addr: SocketAddr, revision: &mut Option<u64>, healthy: &mut bool, news: &impl Fn(News),
 ) -> Result<Infallible> {
     if revision.is_none() {
         let mut stream = dial(addr, "/v1/endpoints").await?;
@@ -232,7 +249,7 @@
         let list = discovery::list(&body)?;
         log::info!("discovery: revision {}, {} members", list.revision, list.members.len());
         *revision = Some(list.revision);
-        told(list);
+        news(News::Told(list));
     }
     let path = format!("/v1/endpoints?watch=1&from={}", revision.unwrap_or_default());
     let mut stream = dial(addr, &path).await?;
@@ -240,7 +257,10 @@
     loop {
         match decoder.next(&mut buffer)? {
             None => read(&mut stream, &mut buffer, SILENCE).await?,
-            Some(Piece::Head(head)) => ensure!(head.status == 200, Status(head.status)),
+            Some(Piece::Head(head)) => {
+                ensure!(head.status == 200, Status(head.status));
+                news(News::Watching);
+            }
             Some(Piece::End) => bail!("the watch ended"),
             Some(Piece::Data(part)) => {
                 lines.extend_from_slice(&part);
@@ -248,7 +268,7 @@
                     *healthy = true;
                     if let Line::Changed(list) = line {
                         *revision = Some(list.revision);
-                        told(list);
+                        news(News::Told(list));
                     }
                 }
             }
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -50,8 +50,12 @@
     let (engine, handle) = Engine::new(&config, talk);
     let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
     let core = tokio::task::spawn_local(engine.run());
+    let known = config.known.as_ref().map(|list| list.revision);
+    let balancers = config.settings.siblings;
     let (discovery, found_at) = watch::channel(config.discovery);
-    let group = tokio::task::spawn_local(upstream_group::follow(found_at, move |list| handle.told(list)));
+    let group = tokio::task::spawn_local(upstream_group::follow(found_at, known, balancers, move |news| {
+        handle.hear(news)
+    }));
     let (bounds, name) = (config.bounds, config.name.clone());
     // Apart from what ends the program: a new configuration may come while it winds down.
     let reload = tokio::task::spawn_local(reload::follow(hangup, file.to_owned(), config, discovery));
