--- a/crates/gateway/src/upstream_group.rs
+++ b/crates/gateway/src/upstream_group.rs
@@ -179,36 +179,56 @@
 pub async fn follow(
     mut found_at: watch::Receiver<SocketAddr>, mut known: Option<u64>, balancers: u32, news: impl Fn(News),
 ) {
-    let first = (TURNED_AWAY_EACH * balancers).max(TURNED_AWAY_LEAST);
     loop {
         let addr = *found_at.borrow_and_update();
         tokio::select! {
-            never = follow_at(addr, known.take(), first, &news) => match never {},
+            never = follow_at(addr, known.take(), Pauses::new(balancers), &news) => match never {},
             Ok(()) = found_at.changed() => {}
         }
     }
 }
 
+/// The pauses between calls to discovery, which a fleet of balancers must not keep down together.
+#[derive(Debug)]
+struct Pauses {
+    balancers: u32,
+    failed: Duration,
+    turned_away: Duration,
+}
+
+impl Pauses {
+    fn new(balancers: u32) -> Self {
+        let turned_away = (TURNED_AWAY_EACH * balancers).max(TURNED_AWAY_LEAST);
+        Self { balancers, failed: BACKOFF.0, turned_away }
+    }
+
+    /// After a call that ended; `chance` is drawn evenly from 0 to 1.
+    fn next(&mut self, healthy: bool, too_busy: bool, chance: f64) -> Duration {
+        if healthy {
+            *self = Self::new(self.balancers);
+        }
+        let most = if too_busy { 4 * Self::new(self.balancers).turned_away } else { BACKOFF.1 };
+        let pause = if too_busy { &mut self.turned_away } else { &mut self.failed };
+        let now = pause.mul_f64(chance + 0.5);
+        *pause = (*pause * 2).min(most);
+        now
+    }
+}
+
 /// Follows the agent at one address. A broken watch is begun again from the last revision. An agent at another
 /// address counts its own revisions, so that its first answer is a whole list.
 async fn follow_at(
-    addr: SocketAddr, known: Option<u64>, first: Duration, news: &impl Fn(News),
+    addr: SocketAddr, known: Option<u64>, mut pauses: Pauses, news: &impl Fn(News),
 ) -> Infallible {
-    let (mut revision, mut wait, mut turned_away) = (known, BACKOFF.0, first);
+    let mut revision = known;
     loop {
         let mut healthy = false;
         match follow_once(addr, &mut revision, &mut healthy, news).await {
             Ok(never) => match never {},
             Err(error) => {
                 log::warn!("discovery: {error:#}; the list stays as it is");
-                if healthy {
-                    (wait, turned_away) = (BACKOFF.0, first);
-                }
                 let too_busy = error.downcast_ref::<Status>().is_some_and(|it| it.0 == 503 || it.0 == 429);
-                let (pause, most) =
-                    if too_busy { (&mut turned_away, first * 4) } else { (&mut wait, BACKOFF.1) };
-                sleep(pause.mul_f64(fastrand::f64() + 0.5)).await;
-                *pause = (*pause * 2).min(most);
+                sleep(pauses.next(healthy, too_busy, fastrand::f64())).await;
             }
         }
     }
@@ -275,3 +295,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Calls in a minute by balancers that are turned away each time after the 2 s that a call waits.
+    fn calls(balancers: u32) -> usize {
+        let mut rng = fastrand::Rng::with_seed(1);
+        let one = |_| {
+            let (mut pauses, mut at, mut calls) = (Pauses::new(balancers), Duration::ZERO, 0);
+            while at < Duration::from_secs(60) {
+                at += Duration::from_secs(2) + pauses.next(false, true, rng.f64());
+                calls += 1;
+            }
+            calls
+        };
+        (0..balancers).map(one).sum()
+    }
+
+    #[test]
+    fn a_hundred_balancers_that_are_turned_away_ask_about_as_often_as_ten() {
+        assert!(calls(100) < 15 * 60, "{} calls in a minute", calls(100));
+        assert!(calls(100) < 5 * calls(10), "{} and {}", calls(100), calls(10));
+    }
+
+    #[test]
+    fn an_agent_that_is_silent_is_asked_again_soon_and_success_begins_anew() {
+        let mut pauses = Pauses::new(100);
+        assert!((0..50).all(|_| pauses.next(false, false, 1.0) <= BACKOFF.1.mul_f64(1.5)));
+        let first = pauses.next(false, true, 0.5);
+        assert!(pauses.next(false, true, 0.5) > first);
+        assert_eq!(pauses.next(true, true, 0.5), first);
+    }
+}
