--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -18,7 +18,7 @@
 const CUT_LATE: f64 = 0.95; // and after late answers, which were served and stored: gently
 const BAD_SHARE: f64 = 0.45; // smoothed share of bad outcomes that cuts: one slow fetch is no congestion
 const BROKEN_GAIN: f64 = 0.1; // weight of a reset in it: connections also break when nothing is slow
-const FETCH_PART: (f64, f64, f64) = (0.15, 0.02, 1.0); // of the aim, for a fetch alone: least, by each, most
+const FETCH_PART: (u32, f64) = (10, 0.02); // of the aim, for a fetch alone: beyond so many balancers, each
 const CLOSE_SHARE: f64 = 0.3; // from this smoothed share on, connections to the origin are not kept idle
 const LOW_WORTH: f64 = 0.5; // at most this part of the best read's worth passes a zero wait
 const BOUND_FACTOR: f64 = 1.25; // in-flight bound: this many times the server's share of the mean ...
@@ -566,8 +566,9 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let done = finished || open.phase == Phase::Done;
         // What was lost at jammed cache servers before is no fault of a fetch that took a part of the aim.
-        let part = (FETCH_PART.1 * f64::from(self.settings.siblings)).clamp(FETCH_PART.0, FETCH_PART.2);
-        let in_time = self.now <= open.aim || latency as f64 <= part * open.aim_span();
+        let many = f64::from(self.settings.siblings.saturating_sub(FETCH_PART.0));
+        let in_time =
+            self.now <= open.aim || latency as f64 <= (FETCH_PART.1 * many).min(1.0) * open.aim_span();
         let Some(ended) = open.attempts.get_mut(n as usize).filter(|a| a.outcome.is_none()) else { return };
         let (slot, to_origin, sent, cut) = (ended.slot, ended.to_origin, ended.sent, ended.cut_short);
         let outcome = if cut && outcome == Outcome::Cancelled { Outcome::Timeout } else { outcome };
--- a/crates/decide/tests/requests.rs
+++ b/crates/decide/tests/requests.rs
@@ -564,3 +564,28 @@
     assert!(!closed(1, Outcome::Error) && !closed(2, Outcome::Ok), "one bad fetch says little");
     assert!(closed(3, Outcome::Error) && closed(4, Outcome::Error), "a run of them does");
 }
+
+#[test]
+fn a_fetch_that_a_jammed_cache_server_made_late_cuts_no_rate_where_there_are_many_balancers() {
+    // Every answer of the origin comes after the aim: of quick fetches after late misses, or of slow fetches.
+    let wait_after = |miss_ms: u64, fetch_ms: u64| {
+        let mut rig = Rig::new(Settings { siblings: 100, ..settings() }, 1, 60);
+        for id in 0..40 {
+            rig.ask(request(id, 0, 1_000 + id));
+            rig.now += miss_ms * MS;
+            rig.end(id, 0, Outcome::Miss);
+            rig.now += fetch_ms * MS;
+            rig.end_after(id, 1, Outcome::Ok, fetch_ms * MS);
+            rig.now += 500 * MS;
+        }
+        rig.miss(100, 0, 2_000);
+        let next = rig.miss(101, 0, 2_001);
+        next.iter().find_map(|a| match a {
+            Action::Timer { delay_us, token: Token(101) } => Some(*delay_us),
+            _ => None,
+        })
+    };
+    let (jammed, slow) = (wait_after(498, 5), wait_after(5, 520));
+    let jammed = jammed.expect("the next fetch is held for its permit");
+    assert!(slow.is_none_or(|slow| slow > 2 * jammed), "{jammed} {slow:?}");
+}
--- a/crates/hearsay/src/belief.rs
+++ b/crates/hearsay/src/belief.rs
@@ -28,9 +28,14 @@
 const DEAD_BAND: f64 = 0.08;
 /// The part of the others that must be heard for a full say: half of them may be down, or half the messages lost.
 const HEARD_PART: f64 = 0.5;
+/// And at least so many: one of a few balancers sees enough for itself, and what it does about it would be done twice.
+const HEARD_LEAST: f64 = 20.0;
 /// The most senders kept, whatever the settings say of the number of balancers.
 const MAX_SENDERS: usize = 4_096;
 
+/// With fewer balancers than this none speaks: each sees enough for itself (measured with four to six).
+pub const ENOUGH: usize = 10;
+
 /// What came of datagrams since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -162,8 +167,8 @@
         }
         let passed = self.last_turn.map_or(f64::INFINITY, |last| now.saturating_sub(last) as f64);
         self.last_turn = Some(now);
-        let wanted = HEARD_PART * self.senders.len().saturating_sub(1) as f64;
-        let say = if others == 0 { 0.0 } else { (f64::from(others) / wanted).min(1.0) };
+        let wanted = (HEARD_PART * self.senders.len().saturating_sub(1) as f64).max(HEARD_LEAST);
+        let say = (f64::from(others) / wanted).min(1.0);
         let parts = self.weigh(loads, &sums, passed, say);
         Turn { datagram, parts }
     }
--- a/crates/hearsay/src/lib.rs
+++ b/crates/hearsay/src/lib.rs
@@ -17,7 +17,7 @@
 mod belief;
 pub mod wire;
 
-pub use belief::{Counts, FRESH_US, Hearsay, LEAST, MOST, PAUSE_US, Turn};
+pub use belief::{Counts, ENOUGH, FRESH_US, Hearsay, LEAST, MOST, PAUSE_US, Turn};
 
 /// Microseconds on the owner's clock: a span, or a point in time.
 pub type Micros = u64;
--- a/crates/spindlebeam/src/config.rs
+++ b/crates/spindlebeam/src/config.rs
@@ -91,7 +91,7 @@
     let peers = (0..).zip(file.peers.iter().flatten());
     let each: Vec<_> = peers.map(|(n, text)| addr(format!("peers[{n}]"), text)).collect::<Result<_>>()?;
     let me = usize::try_from(file.settings["me"].as_u64().unwrap_or_default()).unwrap_or(usize::MAX);
-    let (Some(listen), true) = (listen, each.len() > 1) else { return Ok(None) };
+    let (Some(listen), true) = (listen, each.len() >= hearsay::ENOUGH) else { return Ok(None) };
     ensure!(me < each.len(), "settings.me: {me} is none of the {} balancers in peers", each.len());
     Ok(Some(Siblings { listen, each, all, me }))
 }
--- a/crates/spindlebeam/tests/start.rs
+++ b/crates/spindlebeam/tests/start.rs
@@ -89,3 +89,37 @@
     assert_eq!((entries[0].presence, stale), (Presence::Gone, vec![server_id("y")]));
     assert!(!before.ready() && group.peer(server_id("y")).is_none(), "no trace is kept of it");
 }
+
+#[test]
+fn a_malformed_address_of_other_balancers_ends_the_start_with_its_field() {
+    let text = |field: &str, value: serde_json::Value, peers: bool| {
+        let each: Vec<String> = (1..=12).map(|n| format!("10.3.0.{n}:7946")).collect();
+        let mut text = json!({
+            "name": "n3", "listen": "127.0.0.4:6379", "discovery": "127.0.0.5:8500", "seed": "1",
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "peer_listen": "127.0.0.4:7946", "peers": each, "peers_all": "10.3.255.1:7946",
+            "settings": {"me": 3, "siblings": 12, "profiles": [{"name": "leer"}], "permissions": {"peers": peers}},
+        });
+        if !field.is_empty() {
+            text[field] = value;
+        }
+        text.to_string()
+    };
+    let siblings = config::parse(text("", json!(0), true).as_bytes()).unwrap().siblings.unwrap();
+    assert_eq!((siblings.me, siblings.each.len()), (3, 12));
+    let bad = [
+        ("peer_listen", json!("here"), "peer_listen: \"here\""),
+        ("peers_all", json!("10.0.0.1"), "peers_all: \"10.0.0.1\""),
+        ("peers", json!(["10.3.0.1:7946", "x:1"]), "peers[1]: \"x:1\""),
+    ];
+    for (field, value, wanted) in bad {
+        let error = format!("{:#}", config::parse(text(field, value, true).as_bytes()).unwrap_err());
+        assert!(error.contains(wanted), "{error}");
+    }
+    // Where messages are not allowed, or nobody is there to hear them, nothing is opened.
+    for (field, value, peers) in
+        [("", json!(0), false), ("peer_listen", json!(null), true), ("peers", json!([]), true)]
+    {
+        assert!(config::parse(text(field, value, peers).as_bytes()).unwrap().siblings.is_none());
+    }
+}
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -45,7 +45,7 @@
         for (instance, event) in batch.events {
             match event {
                 WireEvent::Start { seed, settings, me } => {
-                    let speaks = settings.peers && settings.siblings > 1;
+                    let speaks = settings.peers && settings.siblings as usize >= hearsay::ENOUGH;
                     let hearsay = Hearsay::new(me, settings.siblings as usize, batch.clock);
                     let router = Router::new(*settings, seed, batch.clock);
                     let mut it = Hosted { router, hearsay, rng: fastrand::Rng::with_seed(!seed) };
