--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -120,6 +120,8 @@
 pub struct Settings {
     /// Number of instances in this tier, this one included.
     pub siblings: u32,
+    /// The number of this instance among them, from 0.
+    pub me: u32,
     /// The zone of this instance.
     pub zone: ZoneId,
     /// Number of zones.
@@ -168,6 +170,7 @@
     fn default() -> Self {
         Settings {
             siblings: 1,
+            me: 0,
             zone: ZoneId(0),
             zones: 1,
             classes: Vec::new(),
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -116,6 +116,7 @@
         let weights = facts.0.get("weights").copied().unwrap_or("off");
         Ok(Settings {
             siblings: facts.get("siblings", plain.siblings, "a whole number")?.max(1),
+            me: facts.get("me", plain.me, "a whole number")?,
             zone: ZoneId(facts.get("locality", plain.zone.0, "a zone number")?),
             zones: u32::try_from(facts.listed("dcs")).unwrap_or(u32::MAX).max(1),
             classes: (0..facts.count("profiles.count")?).map(|i| facts.class(i)).collect::<Result<_, _>>()?,
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -231,6 +231,12 @@
     timers: Vec<delay_queue::Key>,
 }
 
+/// Unix time; 0 on a machine whose clock stands before 1970.
+#[must_use]
+pub fn unix_us() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
+}
+
 enum Due {
     Speak,
     Module(Token),
@@ -266,7 +272,7 @@
         let claims = Rc::new(Claims::new(&config.bounds));
         let handle = Handle { inputs: sender, next, claims, tally: Rc::default(), ready };
         // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
+        let unix = unix_us();
         let mut engine = Self {
             router: Router::new(config.settings.clone(), config.seed, unix),
             handle: handle.clone(),
--- a/crates/hearsay/src/wire.rs
+++ b/crates/hearsay/src/wire.rs
@@ -9,6 +9,8 @@
 
 use crate::Micros;
 use decide::api::ServerId;
+use fnv::FnvHasher;
+use std::hash::Hasher;
 use thiserror::Error;
 
 /// The version that this build speaks, and the only one that it reads.
@@ -31,7 +33,9 @@
 impl From<ServerId> for Short {
     fn from(id: ServerId) -> Self {
         // Every bit of the id counts: ids may be addresses that differ in few of them.
-        Self((id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48) as u16)
+        let mut hasher = FnvHasher::default();
+        hasher.write(&id.0.to_be_bytes());
+        Self(hasher.finish() as u16)
     }
 }
 
--- a/crates/spindlebeam/src/config.rs
+++ b/crates/spindlebeam/src/config.rs
@@ -82,7 +82,7 @@
 }
 
 /// Where the other balancers are; none where this one is not told, or is the only one.
-fn siblings(file: &File) -> Result<Option<Siblings>> {
+fn siblings(file: &File, me: usize) -> Result<Option<Siblings>> {
     let addr = |field: String, text: &String| -> Result<SocketAddr> {
         text.parse().with_context(|| format!("{field}: {text:?} is no address and port"))
     };
@@ -90,7 +90,6 @@
     let all = file.peers_all.as_ref().map(|text| addr("peers_all".into(), text)).transpose()?;
     let peers = (0..).zip(file.peers.iter().flatten());
     let each: Vec<_> = peers.map(|(n, text)| addr(format!("peers[{n}]"), text)).collect::<Result<_>>()?;
-    let me = usize::try_from(file.settings["me"].as_u64().unwrap_or_default()).unwrap_or(usize::MAX);
     let (Some(listen), true) = (listen, each.len() >= hearsay::ENOUGH) else { return Ok(None) };
     ensure!(me < each.len(), "settings.me: {me} is none of the {} balancers in peers", each.len());
     Ok(Some(Siblings { listen, each, all, me }))
@@ -112,7 +111,7 @@
     let micros = |name: &str, default: u64| {
         Duration::from_micros(file.settings["permissions"][name].as_u64().unwrap_or(default))
     };
-    let siblings = if settings.peers { siblings(&file)? } else { None };
+    let siblings = if settings.peers { siblings(&file, settings.me as usize)? } else { None };
     let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or_default();
     let memory = file.limits.memory_mb.saturating_mul(1 << 20);
     let open = file.settings["permissions"]["maxOpen"].as_u64().unwrap_or(20_000);
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -3,13 +3,13 @@
 use crate::config;
 use crate::reload;
 use anyhow::{Context, Result, bail};
-use gateway::engine::Engine;
+use gateway::engine::{Engine, unix_us};
 use gateway::front::Front;
 use gateway::setup::Config;
 use gateway::siblings::Talk;
 use gateway::upstream_group;
 use std::path::Path;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
@@ -42,9 +42,8 @@
     let listener = socket.listen(1024)?;
     log::info!("{}: listening on {}", config.name, listener.local_addr()?);
 
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
     let talk = match &config.siblings {
-        Some(siblings) => Some(Talk::open(siblings, unix, config.seed).await?),
+        Some(siblings) => Some(Talk::open(siblings, unix_us(), config.seed).await?),
         None => None,
     };
     let (engine, handle) = Engine::new(&config, talk);
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -32,8 +32,6 @@
         seed: u64,
         /// Its settings.
         settings: Box<Settings>,
-        /// Its number among the instances of its tier.
-        me: usize,
     },
     /// An instance was killed.
     Stop,
@@ -250,9 +248,7 @@
             let text = std::str::from_utf8(slice("the settings", 11, 1)?);
             let text = text.map_err(|_| WireError::NotText { record })?;
             let settings = text.parse().map_err(|source| WireError::Setting { record, source })?;
-            let me = text.lines().find_map(|line| line.strip_prefix("me="));
-            let me = me.and_then(|me| me.parse().ok()).unwrap_or_default();
-            WireEvent::Start { seed: r.u64(3), settings: Box::new(settings), me }
+            WireEvent::Start { seed: r.u64(3), settings: Box::new(settings) }
         }
         10 => WireEvent::Said(r.u16(3).into(), slice("the message", 5, 1)?.to_vec()),
         code => return Err(unknown("event code", code.into())),
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -44,9 +44,9 @@
         let mut reply = Reply::default();
         for (instance, event) in batch.events {
             match event {
-                WireEvent::Start { seed, settings, me } => {
+                WireEvent::Start { seed, settings } => {
                     let speaks = settings.peers && settings.siblings as usize >= hearsay::ENOUGH;
-                    let hearsay = Hearsay::new(me, settings.siblings as usize, batch.clock);
+                    let hearsay = Hearsay::new(settings.me as usize, settings.siblings as usize, batch.clock);
                     let router = Router::new(*settings, seed, batch.clock);
                     let mut it = Hosted { router, hearsay, rng: fastrand::Rng::with_seed(!seed) };
                     if speaks {
