Open a door for operators, and take the clients' socket where it is inherited

Ruled out: a slow start (the log ends with the failed bind). Lines at fault: serve.rs bound always.

$PROXY_FD is taken over by crates/inherit (the one unsafe step, checked); nothing is accepted before the list has come. `operator` or $PROXY_OPERATOR opens a door with /ready and /metrics; figures are counted where the event happens and shared with the log. Tests: the door past a hundred half calls, figures against scripted peers, the inherited socket.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -60,6 +60,7 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+pub mod census;
 pub mod policy;
 mod records;
 pub mod settings;
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -141,7 +141,7 @@
     out: Vec<Action>,
     settings: Settings,
     rng: fastrand::Rng,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     table: KeyTable,
     open: FxHashMap<RequestId, Open>,
     flights: FxHashMap<Key, Vec<RequestId>>,
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -3,6 +3,7 @@
 //! It knows no front and no socket of a client: a front submits a request and is given a [`Ticket`].
 
 use crate::call::{Answer, Call};
+use crate::figures::{self, Tally};
 use crate::peer::{self, Connection, Ended, Lines, Pools, Try};
 use crate::setup::{Bounds, Config};
 use crate::siblings::Talk;
@@ -16,14 +17,13 @@
 use proto::discovery::List;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
-use std::fmt;
+use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, interval, sleep};
 use tokio_util::time::{DelayQueue, delay_queue};
 
@@ -50,63 +50,17 @@
 enum Input {
     Arrived(RequestId, Incoming, oneshot::Sender<Answer>),
     Left(RequestId),
-    TryEnded { id: RequestId, attempt: u16, peer: Rc<Peer>, sent: Instant, ended: Ended },
+    TryEnded {
+        id: RequestId,
+        attempt: u16,
+        peer: Rc<Peer>,
+        sent: Instant,
+        ended: Ended,
+    },
     Dialled(Rc<Peer>, Option<Connection>),
     News(News),
-}
-
-/// Final answers since the start, by how and why.
-#[derive(Debug, Default)]
-struct Tally {
-    served: u64,
-    refused: BTreeMap<Reason, u64>,
-    failed: BTreeMap<Reason, u64>,
-    left: u64,
-    tries: BTreeMap<(bool, &'static str), u64>,
-}
-
-impl Tally {
-    fn tried(&mut self, at_origin: bool, ended: &Ended) {
-        let word = match ended.outcome {
-            Outcome::Ok => "served",
-            Outcome::Miss => "missed",
-            Outcome::Error => "error",
-            Outcome::Full => "turned away",
-            Outcome::Timeout => "timed out",
-            Outcome::ConnectFailed => "could not connect",
-            Outcome::Reset if ended.stale => "stale",
-            Outcome::Reset => "reset",
-            Outcome::Cancelled => "cancelled",
-            Outcome::Moot => "not sent",
-        };
-        *self.tries.entry((at_origin, word)).or_default() += 1;
-    }
-    fn refuse(&mut self, why: Reason) {
-        *self.refused.entry(why).or_default() += 1;
-    }
-    fn fail(&mut self, why: Reason) {
-        *self.failed.entry(why).or_default() += 1;
-    }
-}
-
-impl fmt::Display for Tally {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} served", self.served)?;
-        for (how, reasons) in [("refused", &self.refused), ("failed", &self.failed)] {
-            write!(f, ", {} {how}", reasons.values().sum::<u64>())?;
-            let words: Vec<String> = reasons.iter().map(|(why, n)| format!("{} {n}", why.word())).collect();
-            if !words.is_empty() {
-                write!(f, " ({})", words.join(", "))?;
-            }
-        }
-        write!(f, ", {} left by their clients", self.left)?;
-        for (at_origin, whose) in [(false, "cache nodes"), (true, "the origin")] {
-            let of = self.tries.iter().filter(|((origin, _), _)| *origin == at_origin);
-            let words: Vec<String> = of.map(|((_, word), n)| format!("{word} {n}")).collect();
-            write!(f, "; tries at {whose}: {}", words.join(", "))?;
-        }
-        Ok(())
-    }
+    /// A look at the figures.
+    Look(oneshot::Sender<String>),
 }
 
 /// Submits requests to the core, which owes each exactly one final answer.
@@ -116,7 +70,7 @@
     next: Rc<Cell<u64>>,
     claims: Rc<Claims>,
     tally: Rc<RefCell<Tally>>,
-    ready: Rc<Cell<bool>>,
+    ready: Rc<watch::Sender<bool>>,
 }
 
 /// The requests taken whose answers have not been written, and what their answers may come to.
@@ -163,8 +117,7 @@
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (sender, answer) = oneshot::channel();
         if self.claims.full() {
-            self.tally.borrow_mut().refuse(Reason::NoPlace);
-            let _ = sender.send(Answer::Refused(0));
+            refuse_unseen(&self.tally, incoming.class, sender);
         } else {
             // If the core is gone, the sender is dropped with the input and the ticket tells a failure.
             let _ = self.inputs.send(Input::Arrived(id, incoming, sender));
@@ -179,10 +132,28 @@
         let _ = self.inputs.send(Input::News(news));
     }
 
+    /// The figures, as staff fetch them; none if the core is gone.
+    pub async fn figures(&self) -> Option<String> {
+        let (sender, figures) = oneshot::channel();
+        let _ = self.inputs.send(Input::Look(sender));
+        figures.await.ok()
+    }
+
+    /// Counts a new configuration: whether it was taken over.
+    pub fn reloaded(&self, taken_over: bool) {
+        let reloads = &mut self.tally.borrow_mut().reloads;
+        *if taken_over { &mut reloads.0 } else { &mut reloads.1 } += 1;
+    }
+
+    /// Waits until the core knows whom it may send to.
+    pub async fn until_ready(&self) {
+        let _ = self.ready.subscribe().wait_for(|ready| *ready).await; // its sender lives in this handle
+    }
+
     /// Whether the core knows whom it may send to.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.ready.get()
+        *self.ready.borrow()
     }
 }
 
@@ -216,9 +187,18 @@
     }
 }
 
+/// Refuses a request that the module has not heard of, for want of a place.
+fn refuse_unseen(tally: &RefCell<Tally>, class: ClassId, answer: oneshot::Sender<Answer>) {
+    let refused = Answer::Refused(0);
+    tally.borrow_mut().refuse(Reason::NoPlace);
+    tally.borrow_mut().answered(class, &refused);
+    let _ = answer.send(refused);
+}
+
 /// What the core holds of a request until it is answered and none of its tries is out.
 struct RequestContext {
     call: Rc<Call>,
+    class: ClassId,
     fragile: bool,
     held: usize,
     deadline: Instant,
@@ -270,7 +250,8 @@
         let (sender, inputs) = mpsc::unbounded_channel();
         let (next, ready) = Default::default();
         let claims = Rc::new(Claims::new(&config.bounds));
-        let handle = Handle { inputs: sender, next, claims, tally: Rc::default(), ready };
+        let tally = Rc::new(RefCell::new(Tally::new(config.settings.classes.len())));
+        let handle = Handle { inputs: sender, next, claims, tally, ready };
         // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
         let unix = unix_us();
         let mut engine = Self {
@@ -374,6 +355,11 @@
                 self.try_ended(id, attempt, &peer, sent, ended)
             }
             Input::Dialled(peer, connection) => self.pools.put(&peer, connection),
+            Input::Look(figures) => {
+                let (census, open) = (self.router.census(self.now()), self.handle.claims.open.get());
+                let tally = self.handle.tally.borrow();
+                let _ = figures.send(figures::worded(&tally, &self.group.names().classes, open, census));
+            }
             Input::News(News::Watching) => self.become_ready(),
             Input::News(News::Told(list)) => {
                 self.told(&list, false);
@@ -395,7 +381,7 @@
     }
 
     fn become_ready(&mut self) {
-        if !self.handle.ready.replace(true) {
+        if !self.handle.ready.send_replace(true) {
             log::info!("ready");
         }
     }
@@ -412,9 +398,7 @@
         let held = incoming.call.value.as_ref().map_or(0, |v| v.len());
         if self.held_bytes + held > self.bounds.held_bytes {
             // Guards memory: turned away before the module hears of it.
-            self.handle.tally.borrow_mut().refuse(Reason::NoPlace);
-            let _ = answer.send(Answer::Refused(0));
-            return;
+            return refuse_unseen(&self.handle.tally, incoming.class, answer);
         }
         self.held_bytes += held;
         let request = Request {
@@ -427,6 +411,7 @@
         };
         let context = RequestContext {
             call: Rc::new(incoming.call),
+            class: incoming.class,
             fragile: self.fragile.get(incoming.class.0 as usize).is_none_or(|fragile| *fragile),
             held,
             deadline: Instant::now() + incoming.time_left,
@@ -455,8 +440,6 @@
             context.stale |= ended.stale;
         }
         if ended.outcome == Outcome::Ok {
-            let served = self.contexts.get(&id).is_some_and(|context| context.answer.is_some());
-            self.handle.tally.borrow_mut().served += u64::from(served);
             self.handle.claims.learn(ended.value.len());
             self.answer(id, Answer::Served(ended.value));
         }
@@ -504,7 +487,9 @@
 
     /// Gives the final answer, if it is still owed.
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(sender) = self.contexts.get_mut(&id).and_then(|context| context.answer.take()) {
+        let Some(context) = self.contexts.get_mut(&id) else { return };
+        if let Some(sender) = context.answer.take() {
+            self.handle.tally.borrow_mut().answered(context.class, &answer);
             let _ = sender.send(answer); // a client that has just left is told by its ticket
         }
     }
@@ -605,7 +590,8 @@
         let line = if fresh { self.pools.dial(&peer) } else { self.pools.line(&peer) };
         let lines = self.lines.clone();
         let (dial, fragile) = (self.bounds.dial, context.fragile);
-        let this = Try { peer: peer.clone(), call, line, dial, until, fragile, lines };
+        let tally = self.handle.tally.clone();
+        let this = Try { peer: peer.clone(), call, line, dial, until, fragile, lines, tally };
         let inputs = self.handle.inputs.clone();
         tokio::task::spawn_local(async move {
             let ended = this.run(cancelled).await;
@@ -643,6 +629,8 @@
         Config {
             name: "n0".into(),
             listen: nowhere,
+            inherited: None,
+            operator: None,
             discovery: nowhere,
             seed: 1,
             known: None,
--- /dev/null
+++ b/crates/gateway/src/figures.rs
@@ -0,0 +1,125 @@
+//! The figures of this process: counted once, where the event happens, and read by the door, the log and tests alike.
+
+use crate::call::Answer;
+use crate::peer::Ended;
+use decide::api::{ClassId, Outcome, Reason};
+use decide::census::Census;
+use std::collections::BTreeMap;
+use std::fmt::{self, Write};
+
+/// What stands before each name.
+const PREFIX: &str = "balancer";
+
+/// Final answers given to requests of one class.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Answers {
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+}
+
+/// Counts since the start.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// Final answers by class, in the order of the settings.
+    pub classes: Vec<Answers>,
+    /// Tries whose last byte was written to a cache node.
+    pub attempts: u64,
+    /// New configurations taken over, and those that could not be used.
+    pub reloads: (u64, u64),
+    refused: BTreeMap<Reason, u64>,
+    failed: BTreeMap<Reason, u64>,
+    /// Requests whose clients left before their answer.
+    pub left: u64,
+    tries: BTreeMap<(bool, &'static str), u64>,
+}
+
+impl Tally {
+    /// Nothing counted, for so many classes.
+    #[must_use]
+    pub fn new(classes: usize) -> Self {
+        Self { classes: vec![Answers::default(); classes], ..Self::default() }
+    }
+
+    /// Counts a final answer as it is given.
+    pub fn answered(&mut self, class: ClassId, answer: &Answer) {
+        let Some(answers) = self.classes.get_mut(usize::from(class.0)) else { return };
+        *match answer {
+            Answer::Served(_) => &mut answers.served,
+            Answer::Refused(_) => &mut answers.refused,
+            Answer::Failed => &mut answers.failed,
+        } += 1;
+    }
+
+    /// Counts the end of a try.
+    pub fn tried(&mut self, at_origin: bool, ended: &Ended) {
+        let word = match ended.outcome {
+            Outcome::Ok => "served",
+            Outcome::Miss => "missed",
+            Outcome::Error => "error",
+            Outcome::Full => "turned away",
+            Outcome::Timeout => "timed out",
+            Outcome::ConnectFailed => "could not connect",
+            Outcome::Reset if ended.stale => "stale",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::Moot => "not sent",
+        };
+        *self.tries.entry((at_origin, word)).or_default() += 1;
+    }
+
+    /// Counts why a request is refused.
+    pub fn refuse(&mut self, why: Reason) {
+        *self.refused.entry(why).or_default() += 1;
+    }
+
+    /// Counts why a request is failed.
+    pub fn fail(&mut self, why: Reason) {
+        *self.failed.entry(why).or_default() += 1;
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} served", self.classes.iter().map(|it| it.served).sum::<u64>())?;
+        for (how, reasons) in [("refused", &self.refused), ("failed", &self.failed)] {
+            write!(f, ", {} {how}", reasons.values().sum::<u64>())?;
+            let words: Vec<String> = reasons.iter().map(|(why, n)| format!("{} {n}", why.word())).collect();
+            if !words.is_empty() {
+                write!(f, " ({})", words.join(", "))?;
+            }
+        }
+        write!(f, ", {} left by their clients", self.left)?;
+        for (at_origin, whose) in [(false, "cache nodes"), (true, "the origin")] {
+            let of = self.tries.iter().filter(|((origin, _), _)| *origin == at_origin);
+            let words: Vec<String> = of.map(|((_, word), n)| format!("{word} {n}")).collect();
+            write!(f, "; tries at {whose}: {}", words.join(", "))?;
+        }
+        Ok(())
+    }
+}
+
+/// The figures as staff fetch them, one `NAME:VALUE|KIND` a line: `c` counts since the start, `g` is the state now.
+#[must_use]
+pub fn worded(tally: &Tally, class_names: &[String], in_flight: usize, census: Census) -> String {
+    let mut out = String::with_capacity(1024);
+    let mut line = |name: &str, class: &str, value: u64, kind: char| {
+        let _ = writeln!(out, "{PREFIX}.{name}{class}:{value}|{kind}"); // a String takes all
+    };
+    for (name, answers) in class_names.iter().zip(&tally.classes) {
+        let class = format!(".{name}");
+        line("served", &class, answers.served, 'c');
+        line("refused", &class, answers.refused, 'c');
+        line("failed", &class, answers.failed, 'c');
+    }
+    line("attempts", "", tally.attempts, 'c');
+    line("reloads_ok", "", tally.reloads.0, 'c');
+    line("reloads_failed", "", tally.reloads.1, 'c');
+    line("in_flight", "", in_flight as u64, 'g');
+    line("cache_hosts_known", "", census.known, 'g');
+    line("cache_hosts_excluded", "", census.avoided, 'g');
+    out
+}
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's RESP front: the listener, and the places for client connections.
 
 mod client;
+pub mod operator;
 mod request;
 
 use crate::engine::Handle;
@@ -65,8 +66,17 @@
         })
     }
 
-    /// Accepts until `stop` fires, then takes what has been dialled already, and lets the listener go.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, mut stop: oneshot::Receiver<()>) {
+    /// Accepts until `stop` fires, then takes what has been dialled already, and lets the listener go. A `shared` one is
+    /// held by others too, who serve meanwhile: nothing is taken from it before it can be served as well.
+    pub async fn accept(
+        self: Rc<Self>, listener: TcpListener, shared: bool, mut stop: oneshot::Receiver<()>,
+    ) {
+        if shared {
+            tokio::select! {
+                _ = &mut stop => return,
+                () = self.handle.until_ready() => log::info!("accepting from the inherited socket"),
+            }
+        }
         let mut report = interval(REPORT);
         report.reset(); // nothing to tell yet
         loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod call;
 pub mod engine;
+pub mod figures;
 pub mod front;
 pub mod peer;
 pub mod seldom;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -2,13 +2,14 @@
 
 use super::{Connection, DialPlace, Line};
 use crate::call::Call;
+use crate::figures::Tally;
 use crate::seldom::Seldom;
 use crate::upstream_group::Peer;
 use bytes::{Buf, Bytes, BytesMut};
 use decide::api::Outcome;
 use proto::http::{self, Whole};
 use proto::{MAX_VALUE, resp};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -33,6 +34,8 @@
     pub fragile: bool,
     /// What it may log.
     pub lines: Rc<Lines>,
+    /// Where it is counted once it is written whole.
+    pub tally: Rc<RefCell<Tally>>,
 }
 
 /// Log lines that peers can cause at any rate.
@@ -125,6 +128,7 @@
             return Ended { stale: true, ..Outcome::ConnectFailed.into() };
         }
         stage.set(Stage::Written);
+        self.tally.borrow_mut().attempts += u64::from(!self.peer.origin);
         let answer = if self.peer.origin {
             read_http(&mut connection).await
         } else {
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -13,6 +13,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The number of a descriptor under which the listening socket for clients was inherited; bound by itself if none.
+    pub inherited: Option<i32>,
+    /// Where operators call; nowhere if none.
+    pub operator: Option<SocketAddr>,
     /// Discovery's agent.
     pub discovery: SocketAddr,
     /// Seed of the module's random numbers.
--- a/crates/gateway/src/upstream_group.rs
+++ b/crates/gateway/src/upstream_group.rs
@@ -83,6 +83,12 @@
         Self { names, origin_kind, peers: FxHashMap::default() }
     }
 
+    /// The names that the settings give to numbers.
+    #[must_use]
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
     /// A peer that the list has named.
     #[must_use]
     pub fn peer(&self, id: ServerId) -> Option<&Rc<Peer>> {
--- a/crates/gateway/tests/tries.rs
+++ b/crates/gateway/tests/tries.rs
@@ -61,10 +61,19 @@
     };
     let (_keep, cancelled) = oneshot::channel();
     let lines = Rc::default();
-    Try { peer: peer.clone(), call: Rc::new(call), line, dial: MINUTE, until, fragile: false, lines }
-        .run(cancelled)
-        .await
-        .outcome
+    Try {
+        peer: peer.clone(),
+        call: Rc::new(call),
+        line,
+        dial: MINUTE,
+        until,
+        fragile: false,
+        lines,
+        tally: Rc::default(),
+    }
+    .run(cancelled)
+    .await
+    .outcome
 }
 
 #[tokio::test]
--- a/crates/spindlebeam/src/config.rs
+++ b/crates/spindlebeam/src/config.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{Context, Result, ensure};
 use decide::api::Settings;
+use gateway::front::operator::MOST_CALLERS;
 use gateway::setup::{Bounds, Config, Names};
 use gateway::siblings::Siblings;
 use proto::discovery::List;
@@ -18,6 +19,7 @@
 struct File {
     name: String,
     listen: SocketAddr,
+    operator: Option<String>,
     discovery: SocketAddr,
     seed: String,
     limits: Limits,
@@ -78,18 +80,42 @@
 pub fn read(file: &Path) -> Result<Config> {
     let named = || format!("configuration {}", file.display());
     let json = std::fs::read(file).with_context(named)?;
-    parse(&json).with_context(named)
+    let mut config = parse(&json).with_context(named)?;
+    told_by(|name| std::env::var(name).ok(), &mut config)?;
+    Ok(config)
+}
+
+/// Takes in what the platform tells by the environment: `PROXY_OPERATOR`, which goes before the file, since a second
+/// process may be started with the file of the first; and `PROXY_FD`.
+///
+/// # Errors
+/// When one of them cannot be used; the error names it.
+pub fn told_by(variable: impl Fn(&str) -> Option<String>, config: &mut Config) -> Result<()> {
+    if let Some(text) = variable("PROXY_OPERATOR") {
+        config.operator = Some(address("PROXY_OPERATOR", &text)?);
+    }
+    if let Some(text) = variable("PROXY_FD") {
+        let number =
+            text.parse().with_context(|| format!("PROXY_FD: {text:?} is no number of a descriptor"))?;
+        config.inherited = Some(number);
+    }
+    if config.operator.is_some() {
+        let clients = config.bounds.clients.saturating_sub(MOST_CALLERS);
+        config.bounds.clients = clients.max(1);
+    }
+    Ok(())
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr> {
+    text.parse().with_context(|| format!("{field}: {text:?} is no address and port"))
 }
 
 /// Where the other balancers are; none where this one is not told, or is the only one.
 fn siblings(file: &File, me: usize) -> Result<Option<Siblings>> {
-    let addr = |field: String, text: &String| -> Result<SocketAddr> {
-        text.parse().with_context(|| format!("{field}: {text:?} is no address and port"))
-    };
-    let listen = file.peer_listen.as_ref().map(|text| addr("peer_listen".into(), text)).transpose()?;
-    let all = file.peers_all.as_ref().map(|text| addr("peers_all".into(), text)).transpose()?;
+    let listen = file.peer_listen.as_ref().map(|text| address("peer_listen", text)).transpose()?;
+    let all = file.peers_all.as_ref().map(|text| address("peers_all", text)).transpose()?;
     let peers = (0..).zip(file.peers.iter().flatten());
-    let each: Vec<_> = peers.map(|(n, text)| addr(format!("peers[{n}]"), text)).collect::<Result<_>>()?;
+    let each: Vec<_> = peers.map(|(n, text)| address(&format!("peers[{n}]"), text)).collect::<Result<_>>()?;
     let (Some(listen), true) = (listen, each.len() >= hearsay::ENOUGH) else { return Ok(None) };
     ensure!(me < each.len(), "settings.me: {me} is none of the {} balancers in peers", each.len());
     Ok(Some(Siblings { listen, each, all, me }))
@@ -118,6 +144,8 @@
     Ok(Config {
         name: file.name,
         listen: file.listen,
+        inherited: None,
+        operator: file.operator.as_ref().map(|text| address("operator", text)).transpose()?,
         discovery: file.discovery,
         seed,
         known: file.known,
--- a/crates/spindlebeam/src/reload.rs
+++ b/crates/spindlebeam/src/reload.rs
@@ -1,6 +1,7 @@
 //! A new configuration while the program runs: SIGHUP, and what of the new file can be taken over.
 
 use crate::config;
+use gateway::engine::Handle;
 use gateway::setup::Config;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -12,11 +13,18 @@
 /// Nothing here ends the program or touches a client: a file that cannot be used is logged and changes nothing.
 pub async fn follow(
     mut hangup: Signal, file: PathBuf, mut running: Config, discovery: watch::Sender<SocketAddr>,
+    handle: Handle,
 ) {
     while hangup.recv().await.is_some() {
         match config::read(&file) {
-            Ok(new) => apply(&new, &mut running, &discovery),
-            Err(error) => log::error!("SIGHUP: {error:#}; the configuration in use stays"),
+            Ok(new) => {
+                apply(&new, &mut running, &discovery);
+                handle.reloaded(true);
+            }
+            Err(error) => {
+                log::error!("SIGHUP: {error:#}; the configuration in use stays");
+                handle.reloaded(false);
+            }
         }
     }
     std::future::pending().await // signals can no longer come; the program serves on
@@ -41,6 +49,7 @@
     let differs = [
         ("name", old.name != new.name),
         ("listen", old.listen != new.listen),
+        ("operator", old.operator != new.operator),
         ("peers, peers_all or peer_listen", old.siblings != new.siblings),
         ("limits", old.bounds != new.bounds),
         ("settings", old.settings != new.settings || old.names != new.names),
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -4,13 +4,14 @@
 use crate::reload;
 use anyhow::{Context, Result, bail};
 use gateway::engine::{Engine, unix_us};
-use gateway::front::Front;
+use gateway::front::{Front, operator};
 use gateway::setup::Config;
 use gateway::siblings::Talk;
 use gateway::upstream_group;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
@@ -31,16 +32,35 @@
     LocalSet::new().block_on(&runtime, run(config, file))
 }
 
+fn listen(field: &str, addr: SocketAddr) -> Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?; // a restart must not wait for the old connections to be forgotten
+    let bound = socket.bind(addr).and_then(|()| socket.listen(1024));
+    bound.with_context(|| format!("{field}: listening on {addr}"))
+}
+
 async fn run(config: Config, file: &Path) -> Result<()> {
     // First of all, since its default would end the program.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?; // a restart must not wait for the old connections to be forgotten
-    socket.bind(config.listen).with_context(|| format!("listening on {}", config.listen))?;
-    let listener = socket.listen(1024)?;
+    let inherited = config.inherited.is_some();
+    let listener = match config.inherited {
+        Some(number) => {
+            let socket = inherit::listener(number).context("PROXY_FD")?;
+            socket.set_nonblocking(true)?;
+            TcpListener::from_std(socket)?
+        }
+        None => listen("listen", config.listen)?,
+    };
     log::info!("{}: listening on {}", config.name, listener.local_addr()?);
+    let operators = match config.operator {
+        Some(addr) => Some(listen("operator", addr)?),
+        None => None,
+    };
+    if let Some(door) = &operators {
+        log::info!("{}: operators call at {}", config.name, door.local_addr()?);
+    }
 
     let talk = match &config.siblings {
         Some(siblings) => Some(Talk::open(siblings, unix_us(), config.seed).await?),
@@ -51,15 +71,20 @@
     let core = tokio::task::spawn_local(engine.run());
     let known = config.known.as_ref().map(|list| list.revision);
     let balancers = config.settings.siblings;
+    let hears = handle.clone();
     let (discovery, found_at) = watch::channel(config.discovery);
     let group = tokio::task::spawn_local(upstream_group::follow(found_at, known, balancers, move |news| {
-        handle.hear(news)
+        hears.hear(news)
     }));
+    if let Some(door) = operators {
+        tokio::task::spawn_local(operator::serve(door, handle.clone(), front.clone()));
+    }
     let (bounds, name) = (config.bounds, config.name.clone());
     // Apart from what ends the program: a new configuration may come while it winds down.
-    let reload = tokio::task::spawn_local(reload::follow(hangup, file.to_owned(), config, discovery));
+    let reload =
+        tokio::task::spawn_local(reload::follow(hangup, file.to_owned(), config, discovery, handle.clone()));
     let (stop, stopped) = oneshot::channel();
-    let accepting = tokio::task::spawn_local(front.clone().accept(listener, stopped));
+    let accepting = tokio::task::spawn_local(front.clone().accept(listener, inherited, stopped));
 
     tokio::select! {
         _ = terminate.recv() => log::info!("SIGTERM: winding down"),
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -213,6 +213,7 @@
 
 /// The program, ended with the test.
 pub struct Balancer {
+    pub door: Option<SocketAddr>,
     child: Child,
     file: PathBuf,
     log: Receiver<String>,
@@ -241,9 +242,10 @@
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut it = Self { child, file, log, addr: "127.0.0.1:0".parse().unwrap() };
-        let line = it.logged("listening on ");
-        it.addr = line.rsplit(' ').next().unwrap().parse().unwrap();
+        let mut it = Self { door: None, child, file, log, addr: "127.0.0.1:0".parse().unwrap() };
+        let addr = |line: String| line.rsplit(' ').next().unwrap().parse().unwrap();
+        it.addr = addr(it.logged("listening on "));
+        it.door = config["operator"].as_str().map(|_| addr(it.logged("operators call at ")));
         it
     }
     /// Waits for a line of the log.
@@ -277,6 +279,18 @@
     }
 }
 
+/// One call at an operators' door: the status and the body of its answer.
+pub fn call(door: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(door).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+        .unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap(); // one call per connection: it ends behind the answer
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_else(|| panic!("{answer:?}"));
+    (head.split(' ').nth(1).unwrap().parse().unwrap(), body.to_owned())
+}
+
 impl Drop for Balancer {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -342,15 +356,31 @@
     pub fn start(peers: usize) -> Self {
         Self::limited(peers, 192, 1024, 1024)
     }
+    /// With a door for operators.
+    pub fn with_door(peers: usize) -> Self {
+        Self::configured(peers, 1024, |config| config["operator"] = "127.0.0.1:0".into())
+    }
+    /// A figure that the door gives.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (status, text) = call(self.balancer.door.unwrap(), "GET", "/metrics", "");
+        assert_eq!(status, 200);
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("balancer.{name}:")));
+        line.unwrap_or_else(|| panic!("no {name} in {text}")).split('|').next().unwrap().parse().unwrap()
+    }
     /// With other limits: memory and descriptors as it is told of them, and descriptors as the system enforces.
     pub fn limited(peers: usize, memory_mb: u64, sockets: u64, descriptors: u32) -> Self {
+        Self::configured(peers, descriptors, |config| {
+            config["limits"] = json!({"memory_mb": memory_mb, "sockets": sockets});
+        })
+    }
+    fn configured(peers: usize, descriptors: u32, edit: impl FnOnce(&mut Value)) -> Self {
         let peers: Vec<Peer> = (0..peers).map(|_| Peer::start(false)).collect();
         let origin = Peer::start(true);
         let mut members = vec![member("origin", origin.addr, "ready")];
         members.extend(peers.iter().enumerate().map(|(i, p)| member(&format!("s-{i}"), p.addr, "ready")));
         let discovery = Discovery::start(list(1, true, &members));
-        let mut config = config(discovery.addr, sockets, Value::Null);
-        config["limits"]["memory_mb"] = memory_mb.into();
+        let mut config = config(discovery.addr, 1024, Value::Null);
+        edit(&mut config);
         let balancer = Balancer::start(&config, descriptors);
         let watch = discovery.watch();
         balancer.logged("ready");
