Take hosts out by hand, drain the balancer, and go over a replacement with both

Ruled out: discovery (its lists were followed within the 250 ms). At fault: the calls were unknown.

crates/maintenance lays orders over discovery's lists; the core keeps them in $TMPDIR, reads them ten times a second, and says yes once the module has heard. A drain and a replacement close connections behind their answers; the process that others have replaced stops accepting at SIGTERM. The address for other balancers is taken over when it falls free.

Tests: orders over lists, restarts and processes; no try to a host out by hand; drain without a lost request; a replacement of real processes on one socket; a folder that cannot be written.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,6 +4,7 @@
 
 use crate::call::{Answer, Call};
 use crate::figures::{self, Tally};
+use crate::order_file::OrderFile;
 use crate::peer::{self, Connection, Ended, Lines, Pools, Try};
 use crate::setup::{Bounds, Config};
 use crate::siblings::Talk;
@@ -14,17 +15,19 @@
     Token,
 };
 use decide::policy::Router;
+use maintenance::{Maintenance, Order, OrderError, Orders};
 use proto::discovery::List;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
+use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::time::{DelayQueue, delay_queue};
 
 /// How long after its deadline a request that the module left without an answer is failed.
@@ -32,6 +35,13 @@
 /// How long a start waits for discovery's first list before it makes do with the one it knew.
 const FIRST_LIST: Duration = Duration::from_secs(1);
 
+/// How often the orders that another process of this balancer may have been given are looked for. They are due 250 ms
+/// after that process has said yes.
+const ORDERS_SEEN: Duration = Duration::from_millis(100);
+
+/// The file of the orders in force.
+const ORDERS: &str = "spindlebeam-orders.json";
+
 /// A request, as a front hands it over.
 #[derive(Debug)]
 pub struct Incoming {
@@ -61,6 +71,27 @@
     News(News),
     /// A look at the figures.
     Look(oneshot::Sender<String>),
+    Order(Order, oneshot::Sender<Result<(), Unheeded>>),
+    Talk(Talk),
+}
+
+/// Why an order was not carried out; nothing of it is in force.
+#[derive(Debug, thiserror::Error)]
+pub enum Unheeded {
+    /// It cannot be.
+    #[error(transparent)]
+    Order(#[from] OrderError),
+    /// It could not be kept for the next process.
+    #[error("the order could not be written to {}: {error}", file.display())]
+    NotKept {
+        /// Where to.
+        file: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// The core is gone.
+    #[error("the core has stopped")]
+    Stopped,
 }
 
 /// Submits requests to the core, which owes each exactly one final answer.
@@ -71,6 +102,7 @@
     claims: Rc<Claims>,
     tally: Rc<RefCell<Tally>>,
     ready: Rc<watch::Sender<bool>>,
+    draining: Rc<watch::Sender<bool>>,
 }
 
 /// The requests taken whose answers have not been written, and what their answers may come to.
@@ -139,6 +171,27 @@
         figures.await.ok()
     }
 
+    /// Has an order of staff carried out; when it returns, it is in force, and kept for the next process.
+    ///
+    /// # Errors
+    /// When it was not carried out.
+    pub async fn order(&self, order: Order) -> Result<(), Unheeded> {
+        let (sender, done) = oneshot::channel();
+        let _ = self.inputs.send(Input::Order(order, sender));
+        done.await.unwrap_or(Err(Unheeded::Stopped))
+    }
+
+    /// Gives the core the way to the other balancers.
+    pub fn talk(&self, talk: Talk) {
+        let _ = self.inputs.send(Input::Talk(talk));
+    }
+
+    /// Whether the balancer is being drained, now and whenever that changes.
+    #[must_use]
+    pub fn draining(&self) -> watch::Receiver<bool> {
+        self.draining.subscribe()
+    }
+
     /// Counts a new configuration: whether it was taken over.
     pub fn reloaded(&self, taken_over: bool) {
         let reloads = &mut self.tally.borrow_mut().reloads;
@@ -233,6 +286,9 @@
     held_bytes: usize,
     timers: DelayQueue<Due>,
     group: UpstreamGroup,
+    maintenance: Maintenance,
+    /// Where orders are kept; nowhere where none can be given.
+    order_file: Option<OrderFile>,
     pools: Pools,
     lines: Rc<Lines>,
     /// Of each class, whether it must never run twice.
@@ -246,15 +302,25 @@
 impl Engine {
     /// The core, and the handle for its fronts. The list known from before goes in as a cached one.
     #[must_use]
-    pub fn new(config: &Config, talk: Option<Talk>) -> (Self, Handle) {
+    pub fn new(config: &Config) -> (Self, Handle) {
         let (sender, inputs) = mpsc::unbounded_channel();
-        let (next, ready) = Default::default();
+        let (next, ready, draining) = Default::default();
         let claims = Rc::new(Claims::new(&config.bounds));
         let tally = Rc::new(RefCell::new(Tally::new(config.settings.classes.len())));
-        let handle = Handle { inputs: sender, next, claims, tally, ready };
+        let handle = Handle { inputs: sender, next, claims, tally, ready, draining };
         // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
         let unix = unix_us();
+        let folder = config.folder.as_ref().filter(|_| config.operator.is_some());
+        let mut order_file = folder.map(|folder| OrderFile::new(folder.join(ORDERS)));
+        let orders = order_file.as_mut().and_then(OrderFile::poll).unwrap_or_default();
+        if orders != Orders::default() {
+            log::info!("orders of the process before: {orders:?}");
+        }
+        let origin = config.settings.origin_kind.and_then(|kind| config.names.kinds.get(usize::from(kind)));
+        handle.draining.send_replace(orders.draining());
         let mut engine = Self {
+            maintenance: Maintenance::new(origin.cloned(), orders),
+            order_file,
             router: Router::new(config.settings.clone(), config.seed, unix),
             handle: handle.clone(),
             inputs,
@@ -268,13 +334,12 @@
             fragile: config.settings.classes.iter().map(|class| class.effect == Effect::Fragile).collect(),
             bounds: config.bounds,
             events: VecDeque::new(),
-            talk,
+            talk: None,
         };
         if let Some(known) = &config.known {
             engine.told(known, true);
             engine.settle();
         }
-        engine.speak_later();
         (engine, handle)
     }
 
@@ -282,6 +347,8 @@
     pub async fn run(mut self) {
         let mut sweep = interval(Duration::from_secs(1));
         let mut report = interval(Duration::from_secs(10));
+        let mut look = interval(ORDERS_SEEN);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let first_list = sleep(FIRST_LIST);
         tokio::pin!(first_list);
         loop {
@@ -313,6 +380,7 @@
                     }
                 }
                 _ = sweep.tick() => self.pools.sweep(),
+                _ = look.tick(), if self.order_file.is_some() => self.read_orders(),
                 _ = report.tick() => {
                     let (open, so_far) = self.pools.counts();
                     log::info!("{} requests open; {open} connections open; so far {so_far:?}", self.contexts.len());
@@ -360,6 +428,15 @@
                 let tally = self.handle.tally.borrow();
                 let _ = figures.send(figures::worded(&tally, &self.group.names().classes, open, census));
             }
+            Input::Talk(talk) => {
+                self.talk = Some(talk);
+                self.speak_later();
+            }
+            Input::Order(order, done) => {
+                let outcome = self.order(&order);
+                self.settle(); // the module has heard of it before anybody is told that it is in force
+                let _ = done.send(outcome);
+            }
             Input::News(News::Watching) => self.become_ready(),
             Input::News(News::Told(list)) => {
                 self.told(&list, false);
@@ -387,6 +464,47 @@
     }
 
     fn told(&mut self, list: &List, cached: bool) {
+        let laid = self.maintenance.hear(list);
+        self.listed(&laid, cached);
+    }
+
+    /// Takes in what another process of this balancer was ordered.
+    fn read_orders(&mut self) {
+        if let Some(orders) = self.order_file.as_mut().and_then(OrderFile::poll) {
+            let changed = self.maintenance.adopt(orders);
+            self.orders_changed(&changed);
+        }
+    }
+
+    fn order(&mut self, order: &Order) -> Result<(), Unheeded> {
+        self.read_orders(); // what the other process was ordered must not be written over
+        let before = self.maintenance.orders().clone();
+        let changed = self.maintenance.carry_out(self.now() / 1_000, order)?;
+        let after = self.maintenance.orders();
+        if let Some(file) = self.order_file.as_mut().filter(|_| *after != before)
+            && let Err(error) = file.save(after)
+        {
+            self.maintenance.adopt(before);
+            return Err(Unheeded::NotKept { file: file.path().to_owned(), error });
+        }
+        log::info!("ordered: {order:?}");
+        self.orders_changed(&changed);
+        Ok(())
+    }
+
+    fn orders_changed(&mut self, changed: &[String]) {
+        let list = self.maintenance.tell(changed);
+        if !list.members.is_empty() {
+            self.listed(&list, false);
+            self.dial_listed(&list);
+        }
+        let draining = self.maintenance.orders().draining();
+        if self.handle.draining.send_replace(draining) != draining {
+            log::info!("{}", if draining { "draining" } else { "the drain has ended" });
+        }
+    }
+
+    fn listed(&mut self, list: &List, cached: bool) {
         let (kind, entries, stale) = self.group.apply(list, cached);
         stale.into_iter().for_each(|id| self.pools.close_idle(id));
         self.events.push_back(Event::Servers(kind, entries));
@@ -631,6 +749,7 @@
             listen: nowhere,
             inherited: None,
             operator: None,
+            folder: None,
             discovery: nowhere,
             seed: 1,
             known: None,
@@ -643,7 +762,7 @@
 
     #[tokio::test(start_paused = true)]
     async fn an_answered_request_leaves_no_timer_behind() {
-        let (mut engine, handle) = Engine::new(&config(), None);
+        let (mut engine, handle) = Engine::new(&config());
         for n in 0..1_000 {
             let word = Bytes::from(format!("{n:x}"));
             let (command, key, id, options) = (word.clone(), word.clone(), word.clone(), word.clone());
--- a/crates/gateway/src/front/client.rs
+++ b/crates/gateway/src/front/client.rs
@@ -1,7 +1,7 @@
 //! One client connection: commands in, answers out in the order of the commands.
 
-use super::Front;
 use super::request::{self, Asked};
+use super::{Front, Winding};
 use crate::call::Answer;
 use crate::engine::Ticket;
 use admission::{ConnectionId, Patience};
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Commands of one connection that may wait for their answers; beyond it nothing is read.
@@ -58,6 +58,10 @@
     patience: Duration,
     door: Rc<Notify>,
     told: Told,
+    opened: Instant,
+    /// When the last request was answered, if any was.
+    answered_at: Option<Instant>,
+    winding: watch::Receiver<Option<Winding>>,
 }
 
 fn line(text: &str) -> Reply {
@@ -85,6 +89,7 @@
     pub fn new(
         front: Rc<Front>, stream: TcpStream, id: ConnectionId, door: Rc<Notify>, patience: Patience,
     ) -> Self {
+        let winding = front.winding.subscribe();
         Self {
             front,
             stream,
@@ -96,6 +101,9 @@
             patience: Duration::from_micros(patience.0),
             door,
             told: Told::Awaits,
+            opened: Instant::now(),
+            answered_at: None,
+            winding,
         }
     }
 
@@ -121,12 +129,17 @@
             let idle = answered && self.input.is_empty();
             let may_read = !self.ending && self.replies.len() < MOST_WAITING;
             let deadline = self.awaited_since.filter(|_| may_read).map(|since| since + self.patience);
+            let winding = *self.winding.borrow_and_update();
+            let (opened, asked) = (self.opened, self.told != Told::Awaits);
+            let closes = winding.filter(|_| idle).map(|it| it.closes(opened, asked, self.answered_at));
+            let deadline = deadline.into_iter().chain(closes).min();
             let close = tokio::select! {
                 biased;
                 answer = next_answer(&mut self.replies) => {
                     let mut bytes = BytesMut::new();
                     put_answer(&mut bytes, &answer);
                     self.replies[0] = Reply::Now(bytes);
+                    self.answered_at = winding.map(|_| Instant::now());
                     false
                 }
                 read = self.stream.read_buf(&mut self.input), if may_read => {
@@ -137,7 +150,7 @@
                     false
                 }
                 () = self.door.notified(), if answered => self.front.places.borrow().is_closing(self.id),
-                () = self.front.closing.cancelled(), if idle => true,
+                Ok(()) = self.winding.changed() => false,
                 () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
                     if !self.input.is_empty() {
                         self.ending = true;
@@ -197,6 +210,8 @@
                         Some(ticket) => Reply::Later(ticket),
                         None => line("-ERR a request with this id is open\r\n"),
                     },
+                    // Any other answer than yes sends clients elsewhere.
+                    Asked::Ping if self.front.drained() => line("-DRAINING\r\n"),
                     Asked::Ping if self.front.handle.ready() => line("+PONG\r\n"),
                     Asked::Ping => line("-LOADING the list of peers has not come yet\r\n"),
                     Asked::Ok => line("+OK\r\n"),
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -16,14 +16,18 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, interval, sleep, timeout};
-use tokio_util::sync::CancellationToken;
 
 /// The wait after a failed accept, when descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long, at the end, those that have been dialled already are still accepted.
 const LAST_ACCEPTS: Duration = Duration::from_millis(20);
+/// How long a connection that was just accepted may take to its first command while connections are to close. Guards
+/// against closing it as that command is on its way.
+const FIRST_COMMAND: Duration = Duration::from_millis(300);
+/// How long after the call to drain those that ask nothing are closed; the front stops sending new ones 0.3 s after it.
+const DRAIN_IDLE: Duration = Duration::from_secs(1);
 /// How often what has become of client connections is logged.
 const REPORT: Duration = Duration::from_secs(10);
 
@@ -42,8 +46,29 @@
     full: Seldom,
     failed: Seldom,
     freed: Notify,
-    /// Set when connections are to close as they fall idle.
-    pub closing: CancellationToken,
+    /// Set while connections are to close.
+    winding: watch::Sender<Option<Winding>>,
+}
+
+/// Why client connections are to close, and how fast.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Winding {
+    ending: bool,
+    since: Instant,
+    /// How long after that those that ask nothing are closed. Others are closed right behind the answer to their next
+    /// request, where a close cannot cross a command.
+    idle: Duration,
+}
+
+impl Winding {
+    /// When a connection that owes nothing and is owed nothing is to close: it was opened and last answered then.
+    fn closes(&self, opened: Instant, asked: bool, answered: Option<Instant>) -> Instant {
+        match answered {
+            Some(at) if at >= self.since => at,
+            _ if asked => self.since + self.idle,
+            _ => (self.since + self.idle).max(opened + FIRST_COMMAND),
+        }
+    }
 }
 
 impl Front {
@@ -62,7 +87,7 @@
             full: Seldom::default(),
             failed: Seldom::default(),
             freed: Notify::new(),
-            closing: CancellationToken::new(),
+            winding: watch::Sender::new(None),
         })
     }
 
@@ -102,6 +127,9 @@
                 }
             }
         }
+        if shared {
+            return; // who waits in its queue is served by the others
+        }
         // Guards the wind-down against clients that dial anew as soon as they are turned away.
         let _ = timeout(LAST_ACCEPTS, async {
             loop {
@@ -160,6 +188,42 @@
         });
     }
 
+    /// Has every connection closed, those that ask nothing after `idle`. For good: a drain that ends changes nothing.
+    pub fn wind_down(&self, idle: Duration) {
+        self.winding.send_replace(Some(Winding { ending: true, since: Instant::now(), idle }));
+    }
+
+    /// Has connections closed while the balancer is being drained, for as long as the program runs.
+    pub async fn follow_drain(self: Rc<Self>) {
+        let mut draining = self.handle.draining();
+        loop {
+            let drained = *draining.borrow_and_update();
+            let since = Instant::now();
+            let drain = drained.then_some(Winding { ending: false, since, idle: DRAIN_IDLE });
+            self.winding.send_if_modified(|it| {
+                let follows = it.is_none_or(|winding| !winding.ending) && it.is_some() != drained;
+                if follows {
+                    *it = drain;
+                }
+                follows
+            });
+            if draining.changed().await.is_err() {
+                return; // the core is gone
+            }
+        }
+    }
+
+    /// Whether the balancer is being drained; one that ends is asked by nobody who has heard of it.
+    fn drained(&self) -> bool {
+        self.winding.borrow().is_some_and(|it| !it.ending)
+    }
+
+    /// Why no client should come here now, if so.
+    #[must_use]
+    pub fn winding(&self) -> Option<&'static str> {
+        self.winding.borrow().map(|it| if it.ending { "this process is ending" } else { "draining" })
+    }
+
     /// Waits until no client connection is open.
     pub async fn emptied(&self) {
         while self.places.borrow().held() > 0 {
--- a/crates/gateway/src/front/operator.rs
+++ b/crates/gateway/src/front/operator.rs
@@ -1,14 +1,16 @@
 //! The door for operators: HTTP/1.1, one call per connection, answered from the core and never made to wait for traffic.
 
-use crate::engine::Handle;
+use crate::engine::{Handle, Unheeded};
 use crate::front::Front;
 use crate::seldom::Seldom;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{ALLOW, CONTENT_TYPE};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use maintenance::Order;
+use serde::Deserialize;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -25,6 +27,8 @@
 pub const MOST_CALLERS: usize = 16;
 /// How long a call may take, from connecting to the last byte of its answer.
 const CALL_TIME: Duration = Duration::from_secs(2);
+/// The longest body of a call.
+const MOST_BODY: usize = 4 * 1024;
 /// The wait after a failed accept, when descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -112,16 +116,40 @@
                 Some(figures) => reply(StatusCode::OK, "text/plain; charset=utf-8", figures),
                 None => refusal(StatusCode::INTERNAL_SERVER_ERROR, "the core has stopped"),
             },
+            ("/drain", &Method::POST) => self.order(Order::Drain).await,
+            ("/undrain", &Method::POST) => self.order(Order::Undrain).await,
+            ("/cache-hosts/disable", &Method::POST) => match host(request).await {
+                Ok(id) => self.order(Order::Disable(id)).await,
+                Err(no) => no,
+            },
+            ("/cache-hosts/enable", &Method::POST) => match host(request).await {
+                Ok(id) => self.order(Order::Enable(id)).await,
+                Err(no) => no,
+            },
             ("/ready" | "/metrics", _) => wrong_method("GET"),
+            ("/drain" | "/undrain" | "/cache-hosts/disable" | "/cache-hosts/enable", _) => {
+                wrong_method("POST")
+            }
             _ => refusal(StatusCode::NOT_FOUND, "no such call"),
         }
     }
 
+    async fn order(&self, order: Order) -> Response<Full<Bytes>> {
+        match self.handle.order(order).await {
+            Ok(()) => reply(StatusCode::OK, JSON, json!({"done": true}).to_string()),
+            Err(why @ Unheeded::Order(_)) => refusal(StatusCode::NOT_FOUND, &why.to_string()),
+            Err(why) => {
+                log::error!("operators: {why}");
+                refusal(StatusCode::INTERNAL_SERVER_ERROR, &why.to_string())
+            }
+        }
+    }
+
     fn ready(&self) -> Response<Full<Bytes>> {
         let why = if !self.handle.ready() {
             "the list of cache hosts has not come yet"
-        } else if self.front.closing.is_cancelled() {
-            "this process is ending"
+        } else if let Some(why) = self.front.winding() {
+            why
         } else {
             return reply(StatusCode::OK, JSON, json!({"ready": true}).to_string());
         };
@@ -129,6 +157,25 @@
     }
 }
 
+/// The cache host that a call names.
+async fn host(request: Request<Incoming>) -> Result<String, Response<Full<Bytes>>> {
+    #[derive(Deserialize)]
+    struct Call {
+        who: String,
+    }
+    let body = match Limited::new(request.into_body(), MOST_BODY).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return Err(refusal(StatusCode::PAYLOAD_TOO_LARGE, &format!("more than {MOST_BODY} bytes")));
+        }
+        Err(error) => return Err(refusal(StatusCode::BAD_REQUEST, &error.to_string())),
+    };
+    match serde_json::from_slice::<Call>(&body) {
+        Ok(call) => Ok(call.who),
+        Err(error) => Err(refusal(StatusCode::BAD_REQUEST, &format!("wanted {{\"who\":\"ID\"}}: {error}"))),
+    }
+}
+
 const JSON: &str = "application/json";
 
 fn reply(status: StatusCode, kind: &'static str, body: String) -> Response<Full<Bytes>> {
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -4,6 +4,7 @@
 use decide::api::Settings;
 use proto::discovery::List;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// What the program is told at its start.
@@ -17,6 +18,8 @@
     pub inherited: Option<i32>,
     /// Where operators call; nowhere if none.
     pub operator: Option<SocketAddr>,
+    /// The folder that the next process of this balancer finds as this one left it, if there is such.
+    pub folder: Option<PathBuf>,
     /// Discovery's agent.
     pub discovery: SocketAddr,
     /// Seed of the module's random numbers.
--- /dev/null
+++ b/crates/maintenance/src/lib.rs
@@ -0,0 +1,118 @@
+//! What operators have ordered: cache hosts out by hand, and the drain of the balancer.
+//!
+//! The crate does no I/O and reads no clock: its owner tells it what discovery says and what is ordered and when, keeps
+//! its [`Orders`] where the next process finds them, and hands on the lists it yields. A host that is out by hand reads
+//! there as draining, and one that was called back as started then, so that nobody needs to know of orders.
+#![forbid(unsafe_code)]
+#![warn(unreachable_pub)]
+
+mod orders;
+
+pub use orders::{Order, OrderError, Orders, UnreadableOrders};
+
+use hashlink::LruCache;
+use proto::discovery::{List, Member, Phase};
+use rustc_hash::{FxBuildHasher, FxHashMap};
+use std::fmt;
+
+/// Unix time in milliseconds, as discovery's list tells of starts.
+pub type Millis = u64;
+
+/// Ids remembered of hosts that were listed once: those that may be taken out while they are away. Bounds memory on days
+/// on which new hosts take the place of old ones all the time.
+const KNOWN: usize = 4_096;
+
+/// The list as discovery last told it, and the orders laid over it.
+pub struct Maintenance {
+    /// The kind of member that is the origin, which no order touches.
+    origin_flavor: Option<String>,
+    listed: FxHashMap<String, Member>,
+    known: LruCache<String, (), FxBuildHasher>,
+    orders: Orders,
+}
+
+impl Maintenance {
+    /// No list as yet, and the orders of the process before.
+    #[must_use]
+    pub fn new(origin_flavor: Option<String>, orders: Orders) -> Self {
+        let known = LruCache::with_hasher(KNOWN, FxBuildHasher);
+        Self { origin_flavor, listed: FxHashMap::default(), known, orders }
+    }
+
+    /// The orders in force.
+    #[must_use]
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
+    /// Takes in a list of discovery, and yields it with the orders laid over.
+    #[must_use]
+    pub fn hear(&mut self, list: &List) -> List {
+        if list.complete {
+            self.listed.clear();
+        }
+        for member in &list.members {
+            if self.origin_flavor.as_ref() == Some(&member.flavor) {
+                continue;
+            }
+            self.known.insert(member.id.clone(), ());
+            match member.phase {
+                Phase::Gone => self.listed.remove(&member.id),
+                Phase::Ready | Phase::Draining => self.listed.insert(member.id.clone(), member.clone()),
+            };
+            self.orders.heard_of_start(&member.id, member.up_since_ms);
+        }
+        let members = list.members.iter().map(|member| self.laid_over(member)).collect();
+        List { members, ..*list }
+    }
+
+    /// Carries out an order, and yields the hosts about which there is something new to tell, as [`Maintenance::tell`]
+    /// takes them. One that is in force already changes nothing.
+    ///
+    /// # Errors
+    /// When no cache host has the id.
+    pub fn carry_out(&mut self, now: Millis, order: &Order) -> Result<Vec<String>, OrderError> {
+        if let Order::Disable(id) | Order::Enable(id) = order
+            && !self.known.contains_key(id)
+            && !self.orders.is_out(id)
+        {
+            return Err(OrderError::Unknown(id.clone()));
+        }
+        let changed = self.orders.carry_out(now, order);
+        for member in changed.iter().filter_map(|id| self.listed.get(id)) {
+            self.orders.heard_of_start(&member.id, member.up_since_ms);
+        }
+        Ok(changed.into_iter().collect())
+    }
+
+    /// Puts other orders in the place of those in force, and yields the hosts about which there is something new to tell.
+    pub fn adopt(&mut self, orders: Orders) -> Vec<String> {
+        let old = std::mem::replace(&mut self.orders, orders);
+        old.differences(&self.orders)
+    }
+
+    /// The change of the list that brings its reader up to date about these hosts; those not listed now are left out.
+    #[must_use]
+    pub fn tell(&self, hosts: &[String]) -> List {
+        let listed = hosts.iter().filter_map(|id| self.listed.get(id));
+        List { revision: 0, complete: false, members: listed.map(|member| self.laid_over(member)).collect() }
+    }
+
+    fn laid_over(&self, member: &Member) -> Member {
+        let mut laid = member.clone();
+        if self.orders.is_out(&member.id) && member.phase == Phase::Ready {
+            laid.phase = Phase::Draining;
+        }
+        if let Some(back) = self.orders.back_since(&member.id) {
+            // Discovery tells of starts seconds late: until it does, the host is taken to be as cold as it can be.
+            laid.up_since_ms = laid.up_since_ms.max(back);
+        }
+        laid
+    }
+}
+
+impl fmt::Debug for Maintenance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} hosts listed, {:?}", self.listed.len(), self.orders)
+    }
+}
--- a/crates/spindlebeam/src/config.rs
+++ b/crates/spindlebeam/src/config.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Descriptors kept back for the listener, discovery, the logs and the runtime.
@@ -99,6 +99,7 @@
             text.parse().with_context(|| format!("PROXY_FD: {text:?} is no number of a descriptor"))?;
         config.inherited = Some(number);
     }
+    config.folder = variable("TMPDIR").map(PathBuf::from);
     if config.operator.is_some() {
         let clients = config.bounds.clients.saturating_sub(MOST_CALLERS);
         config.bounds.clients = clients.max(1);
@@ -145,6 +146,7 @@
         name: file.name,
         listen: file.listen,
         inherited: None,
+        folder: None,
         operator: file.operator.as_ref().map(|text| address("operator", text)).transpose()?,
         discovery: file.discovery,
         seed,
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -3,13 +3,13 @@
 use crate::config;
 use crate::reload;
 use anyhow::{Context, Result, bail};
-use gateway::engine::{Engine, unix_us};
+use gateway::engine::{Engine, Handle, unix_us};
 use gateway::front::{Front, operator};
 use gateway::setup::Config;
-use gateway::siblings::Talk;
+use gateway::siblings::{Siblings, Talk};
 use gateway::upstream_group;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -19,6 +19,13 @@
 
 /// New connections keep coming for this long after SIGTERM.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// Where another process serves already, connections that ask nothing are closed this long after SIGTERM: most have asked
+/// again by then, and were closed behind their answer.
+const IDLE_AT_REPLACEMENT: Duration = Duration::from_millis(1_500);
+/// How often an address for other balancers that is still held by the process before is tried.
+const TALK_AGAIN: Duration = Duration::from_millis(200);
+/// The file that names the process which serves.
+const SERVING: &str = "spindlebeam-serving";
 /// What is left this long after the last deadline is not waited for.
 const LAST_CALL: Duration = Duration::from_millis(150);
 
@@ -39,6 +46,34 @@
     bound.with_context(|| format!("{field}: listening on {addr}"))
 }
 
+async fn talk_later(siblings: Siblings, seed: u64, handle: Handle) {
+    let talk = loop {
+        sleep(TALK_AGAIN).await;
+        if let Ok(talk) = Talk::open(&siblings, unix_us(), seed).await {
+            break talk;
+        }
+    };
+    log::info!("other balancers are told from now on");
+    handle.talk(talk);
+}
+
+/// Which process of this balancer serves, where several may share its listening socket: a file with the number of the
+/// one that became ready last.
+struct Shared(PathBuf);
+
+impl Shared {
+    async fn announce(self, handle: Handle) {
+        handle.until_ready().await;
+        if let Err(error) = std::fs::write(&self.0, std::process::id().to_string()) {
+            log::warn!("{}: {error}; a process before this one accepts on for a while", self.0.display());
+        }
+    }
+    fn has_successor(&self) -> bool {
+        let last = std::fs::read_to_string(&self.0).ok().and_then(|text| text.parse().ok());
+        last.is_some_and(|number: u32| number != std::process::id())
+    }
+}
+
 async fn run(config: Config, file: &Path) -> Result<()> {
     // First of all, since its default would end the program.
     let hangup = signal(SignalKind::hangup())?;
@@ -62,11 +97,19 @@
         log::info!("{}: operators call at {}", config.name, door.local_addr()?);
     }
 
-    let talk = match &config.siblings {
-        Some(siblings) => Some(Talk::open(siblings, unix_us(), config.seed).await?),
-        None => None,
-    };
-    let (engine, handle) = Engine::new(&config, talk);
+    let (engine, handle) = Engine::new(&config);
+    if let Some(siblings) = config.siblings.clone() {
+        let seed = config.seed;
+        match Talk::open(&siblings, unix_us(), seed).await {
+            Ok(talk) => handle.talk(talk),
+            // The process before holds the address until it ends.
+            Err(error) if inherited => {
+                log::info!("{error:#}; other balancers are told nothing until it is free");
+                tokio::task::spawn_local(talk_later(siblings, seed, handle.clone()));
+            }
+            Err(error) => return Err(error),
+        }
+    }
     let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
     let core = tokio::task::spawn_local(engine.run());
     let known = config.known.as_ref().map(|list| list.revision);
@@ -79,6 +122,12 @@
     if let Some(door) = operators {
         tokio::task::spawn_local(operator::serve(door, handle.clone(), front.clone()));
     }
+    tokio::task::spawn_local(front.clone().follow_drain());
+    let serving = || config.folder.as_ref().filter(|_| inherited).map(|it| Shared(it.join(SERVING)));
+    let shared = serving();
+    if let Some(shared) = serving() {
+        tokio::task::spawn_local(shared.announce(handle.clone()));
+    }
     let (bounds, name) = (config.bounds, config.name.clone());
     // Apart from what ends the program: a new configuration may come while it winds down.
     let reload =
@@ -94,10 +143,16 @@
         ended = group => bail!("the watch of discovery has stopped: {ended:?}"),
         ended = reload => bail!("rereading the configuration has stopped: {ended:?}"),
     }
-    sleep(STILL_ACCEPTING).await;
-    let _ = stop.send(());
-    let _ = accepting.await;
-    front.closing.cancel();
+    if shared.is_some_and(|shared| shared.has_successor()) {
+        log::info!("another process serves: accepting no more");
+        let _ = stop.send(());
+        front.wind_down(IDLE_AT_REPLACEMENT);
+    } else {
+        sleep(STILL_ACCEPTING).await;
+        let _ = stop.send(());
+        let _ = accepting.await;
+        front.wind_down(Duration::ZERO);
+    }
     if timeout(bounds.longest + LAST_CALL, front.emptied()).await.is_err() {
         log::warn!("some client connections were still busy at the end");
     }
--- a/crates/spindlebeam/tests/operators.rs
+++ b/crates/spindlebeam/tests/operators.rs
@@ -2,6 +2,7 @@
 
 mod platform;
 use platform::*;
+use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -70,3 +71,148 @@
     assert_eq!(p.figure("in_flight"), 0, "its client has left");
     drop(asked);
 }
+
+#[test]
+fn nothing_goes_to_a_host_out_by_hand_whatever_lists_say_until_it_is_called_back() {
+    let mut p = Platform::with_door(2);
+    let key = p.key_of(0);
+    let mut client = p.balancer.client();
+    let mut served_by = |p: &Platform, peer: usize| {
+        client.get("leer", &key);
+        p.peers[peer].asked().value("v");
+        assert_eq!(client.answer(), "v");
+    };
+    for _ in 0..2 {
+        p.balancer.order("/cache-hosts/disable", "s-0");
+    }
+    served_by(&p, 1);
+    assert_eq!((p.figure("cache_hosts_known"), p.figure("cache_hosts_excluded")), (2, 1));
+    let members = [member("s-0", p.peers[0].addr, "ready"), member("s-1", p.peers[1].addr, "ready")];
+    push(&mut p.watch, &list(2, false, &members).to_string());
+    push(&mut p.watch, &list(3, false, &[member("s-2", p.peers[1].addr, "gone")]).to_string());
+    push(&mut p.watch, &list(4, false, &[member("s-3", p.peers[1].addr, "draining")]).to_string());
+    p.balancer.logged("s-3 is Draining"); // what came before it has been heard
+    served_by(&p, 1);
+    assert!(p.peers[0].heard_of_nothing_more());
+    // Back, the host is cold: it is given its part of the reads, which comes within the first few.
+    p.balancer.order("/cache-hosts/enable", "s-0");
+    let back = (0..100).any(|n| {
+        client.get("leer", &format!("{n:x}"));
+        let (peer, asked) = next_asked(&p.peers);
+        asked.value("v");
+        client.answer() == "v" && peer == 0
+    });
+    assert!(back, "one call back undoes two calls out");
+}
+
+#[test]
+fn orders_that_cannot_be_carried_out_are_owed_a_no_with_its_reason() {
+    let p = Platform::with_door(1);
+    let door = p.balancer.door.unwrap();
+    for (body, status, why) in [
+        ("{\"who\":\"nadie\"}", 404, "no cache host has the id"),
+        ("{\"who\":\"origin\"}", 404, "no cache host has the id"),
+        ("{\"who\":7}", 400, "invalid type"),
+        ("{}", 400, "missing field `who`"),
+        ("{\"who\":", 400, "wanted"),
+        (&"x".repeat(5_000), 413, "more than 4096 bytes"),
+    ] {
+        for path in ["/cache-hosts/disable", "/cache-hosts/enable"] {
+            let (found, text) = call(door, "POST", path, body);
+            assert!(found == status && text.contains(why), "{path} {body}: {found} {text}");
+        }
+    }
+    assert_eq!(call(door, "GET", "/drain", "").0, 405);
+
+    // The folder is gone: what cannot be kept for the next process is not in force.
+    std::fs::remove_dir_all(&p.balancer.folder).unwrap();
+    let (status, text) = call(door, "POST", "/cache-hosts/disable", "{\"who\":\"s-0\"}");
+    assert!(status == 500 && text.contains("could not be written"), "{status} {text}");
+    assert_eq!(p.figure("cache_hosts_excluded"), 0);
+}
+
+#[test]
+fn a_drain_answers_what_came_closes_all_and_ends_without_a_restart() {
+    let p = Platform::with_door(1);
+    let (mut busy, mut idle) = (p.balancer.client(), p.balancer.client());
+    idle.send(&["PING"]);
+    assert_eq!(idle.answer(), "+PONG");
+    busy.get("leer", "1");
+    let asked = p.peers[0].asked();
+    p.balancer.order("/drain", "");
+    p.balancer.logged("draining");
+    idle.send(&["PING"]);
+    assert_eq!(idle.answer(), "-DRAINING");
+    assert_eq!(call(p.balancer.door.unwrap(), "GET", "/ready", "").0, 503);
+    let mut late = p.balancer.client(); // still coming
+    late.get("leer", "2");
+    p.peers[0].asked().value("w");
+    assert_eq!(late.answer(), "w");
+    assert!(late.ended(), "right behind its answer");
+    asked.value("v");
+    assert_eq!(busy.answer(), "v");
+    assert!(busy.ended() && idle.ended());
+    p.balancer.order("/undrain", "");
+    let mut client = p.balancer.client();
+    client.send(&["PING"]);
+    assert_eq!(client.answer(), "+PONG");
+    client.get("leer", "3");
+    p.peers[0].asked().value("x");
+    assert_eq!(client.answer(), "x");
+    client.send(&["PING"]);
+    assert_eq!(client.answer(), "+PONG", "connections are kept again");
+}
+
+#[test]
+fn a_replacement_loses_no_connection_and_keeps_what_was_ordered() {
+    let (peers, origin) = ([(); 3].map(|()| Peer::start(false)), Peer::start(true));
+    let mut members = vec![member("origin", origin.addr, "ready")];
+    members.extend((0..3).map(|n| member(&format!("s-{n}"), peers[n].addr, "ready")));
+    let discovery = Discovery::start(list(1, true, &members));
+    let mut config = config(discovery.addr, 1024, Value::Null);
+    config["operator"] = "127.0.0.1:0".into();
+    let home = Home::new();
+    let mut old = Balancer::start_at(&home, &config);
+    old.logged("accepting from the inherited socket");
+    old.order("/cache-hosts/disable", "s-0");
+    let mut kept = home.client();
+    kept.get("leer", "1");
+    let (_, asked) = next_asked(&peers[1..]);
+    assert!(peers[0].heard_of_nothing_more());
+
+    let new = Balancer::start_at(&home, &config);
+    new.logged("accepting from the inherited socket");
+    assert_eq!(call(new.door.unwrap(), "GET", "/ready", "").0, 200);
+    // Both are one balancer: what the one is ordered, the other does.
+    new.order("/cache-hosts/disable", "s-1");
+    new.order("/cache-hosts/enable", "s-0");
+    old.logged("discovery: s-0 is Ready");
+    old.terminate();
+    old.logged("another process serves");
+    for n in 2..20 {
+        let mut client = home.client(); // none is refused, reset or left unread
+        client.get("leer", &n.to_string());
+        let (peer, asked) = next_asked(&peers);
+        assert_ne!(peer, 1, "out by hand");
+        asked.value("v");
+        assert_eq!(client.answer(), "v");
+    }
+    asked.value("tomado antes");
+    assert_eq!(kept.answer(), "tomado antes");
+    assert!(kept.ended());
+    assert!(old.exit().success());
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_ends_the_start_with_its_name() {
+    for (socket, why) in
+        [("8", "PROXY_FD: descriptor 8 is no listening TCP socket"), ("x", "PROXY_FD: \"x\"")]
+    {
+        let mut home = Home::new();
+        home.number = socket;
+        let config = config("127.0.0.1:1".parse().unwrap(), 1024, Value::Null).to_string();
+        let out = home.spawn(&config, 1024).0.wait_with_output().unwrap();
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(!out.status.success() && said.lines().count() == 1 && said.contains(why), "{said}");
+    }
+}
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -97,6 +98,21 @@
     }
 }
 
+/// The next request at any of these, and at which.
+pub fn next_asked(peers: &[Peer]) -> (usize, Asked) {
+    loop {
+        let heard = peers.iter().map(|p| p.seen.try_recv()).enumerate();
+        let mut asked = heard.filter_map(|(i, seen)| match seen {
+            Ok(Seen::Asked(asked)) => Some((i, asked)),
+            _ => None,
+        });
+        if let Some(found) = asked.next() {
+            return found;
+        }
+        thread::yield_now();
+    }
+}
+
 fn attend(mut stream: TcpStream, http: bool, sender: &Sender<Seen>) {
     let mut buffer = BytesMut::new();
     loop {
@@ -214,35 +230,83 @@
 /// The program, ended with the test.
 pub struct Balancer {
     pub door: Option<SocketAddr>,
+    pub folder: PathBuf,
     child: Child,
     file: PathBuf,
     log: Receiver<String>,
     pub addr: SocketAddr,
 }
 
-/// Starts the program with a configuration of its own.
-pub fn spawn(config: &str, descriptors: u32) -> (Child, PathBuf) {
+/// A place of its own for a test's files.
+fn place() -> PathBuf {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let number = COUNT.fetch_add(1, Ordering::Relaxed);
-    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}.json", std::process::id()));
-    std::fs::write(&file, config).unwrap();
-    let child = Command::new("sh")
-        .args(["-c", &format!("ulimit -S -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
-        .args([env!("CARGO_BIN_EXE_spindlebeam"), file.to_str().unwrap()])
-        .env("RUST_LOG", "info")
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    (child, file)
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", std::process::id()))
+}
+
+/// Starts the program with a configuration of its own.
+pub fn spawn(config: &str, descriptors: u32) -> (Child, PathBuf) {
+    let home = Home { folder: place(), socket: None, number: "" };
+    std::fs::create_dir(&home.folder).unwrap();
+    home.spawn(config, descriptors)
+}
+
+/// What the processes of one balancer share: their folder, and the clients' socket if the platform holds it.
+pub struct Home {
+    pub folder: PathBuf,
+    pub socket: Option<TcpListener>,
+    /// The descriptor that the program is told of.
+    pub number: &'static str,
+}
+
+impl Home {
+    /// With a clients' socket that the platform holds.
+    pub fn new() -> Self {
+        let socket = Some(TcpListener::bind("127.0.0.1:0").unwrap());
+        let home = Home { folder: place(), socket, number: "7" };
+        std::fs::create_dir(&home.folder).unwrap();
+        home
+    }
+    pub fn client(&self) -> Client {
+        Client::connect(self.socket.as_ref().unwrap().local_addr().unwrap())
+    }
+    pub fn spawn(&self, config: &str, descriptors: u32) -> (Child, PathBuf) {
+        let file = place().with_extension("json");
+        std::fs::write(&file, config).unwrap();
+        let mut command = Command::new("sh");
+        let inherited = if self.socket.is_some() { "exec 7<&0 && " } else { "" };
+        command
+            .args([
+                "-c",
+                &format!("ulimit -S -n {descriptors} && {inherited}exec \"$0\" serve --config \"$1\""),
+            ])
+            .args([env!("CARGO_BIN_EXE_spindlebeam"), file.to_str().unwrap()])
+            .env("RUST_LOG", "info")
+            .env("TMPDIR", &self.folder)
+            .stderr(Stdio::piped());
+        if let Some(socket) = &self.socket {
+            command.env("PROXY_FD", self.number).stdin(OwnedFd::from(socket.try_clone().unwrap()));
+        }
+        (command.spawn().unwrap(), file)
+    }
 }
 
 impl Balancer {
     pub fn start(config: &Value, descriptors: u32) -> Self {
-        let (mut child, file) = spawn(&config.to_string(), descriptors);
+        let home = Home { folder: place(), socket: None, number: "" };
+        std::fs::create_dir(&home.folder).unwrap();
+        Self::of(&home, home.spawn(&config.to_string(), descriptors), config)
+    }
+    /// A process of a balancer that others are of as well.
+    pub fn start_at(home: &Home, config: &Value) -> Self {
+        Self::of(home, home.spawn(&config.to_string(), 1024), config)
+    }
+    fn of(home: &Home, (mut child, file): (Child, PathBuf), config: &Value) -> Self {
         let (sender, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| sender.send(line)));
-        let mut it = Self { door: None, child, file, log, addr: "127.0.0.1:0".parse().unwrap() };
+        let folder = home.folder.clone();
+        let mut it = Self { door: None, folder, child, file, log, addr: "127.0.0.1:0".parse().unwrap() };
         let addr = |line: String| line.rsplit(' ').next().unwrap().parse().unwrap();
         it.addr = addr(it.logged("listening on "));
         it.door = config["operator"].as_str().map(|_| addr(it.logged("operators call at ")));
@@ -273,9 +337,16 @@
         self.child.wait().unwrap()
     }
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client(BufReader::new(stream))
+        Client::connect(self.addr)
+    }
+    /// A yes of the door.
+    pub fn order(&self, path: &str, host: &str) {
+        let body = json!({"who": host}).to_string();
+        assert_eq!(
+            call(self.door.unwrap(), "POST", path, &body),
+            (200, "{\"done\":true}".into()),
+            "{path} {body}"
+        );
     }
 }
 
@@ -307,6 +378,11 @@
 }
 
 impl Client {
+    fn connect(addr: SocketAddr) -> Self {
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client(BufReader::new(stream))
+    }
     pub fn send(&mut self, words: &[&str]) {
         let mut bytes = BytesMut::new();
         let words: Vec<&[u8]> = words.iter().map(|word| word.as_bytes()).collect();
@@ -397,17 +473,7 @@
             .map(|n: u64| format!("{n:x}"))
             .find(|key| {
                 client.get("leer", key);
-                let found = loop {
-                    let heard = self.peers.iter().map(|p| p.seen.try_recv()).enumerate();
-                    let mut asked = heard.filter_map(|(i, seen)| match seen {
-                        Ok(Seen::Asked(asked)) => Some((i, asked)),
-                        _ => None,
-                    });
-                    if let Some(found) = asked.next() {
-                        break found;
-                    }
-                    thread::yield_now();
-                };
+                let found = next_asked(&self.peers);
                 found.1.value("x");
                 client.answer() == "x" && found.0 == peer
             })
