--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,10 +1,12 @@
 //! What a request asks of a peer, and what its client is answered: shared by fronts, core and peers.
 
+use crate::held::Held;
+use crate::peer::Streamed;
 use bytes::Bytes;
 use std::ops::Range;
 
 /// A request as its client worded it, for passing on. All parts are slices of what was read.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Call {
     /// The command's word.
     pub command: Bytes,
@@ -18,6 +20,8 @@
     pub time_at: Range<usize>,
     /// The value of a write.
     pub value: Option<Bytes>,
+    /// The room that it takes.
+    pub held: Option<Held>,
 }
 
 impl Call {
@@ -30,10 +34,12 @@
 }
 
 /// The one final answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Answer {
     /// The value or the write's receipt, as a peer or the origin made it for this request.
     Served(Bytes),
+    /// The same where it is large: it is passed on as it comes.
+    Streamed(Box<Streamed>),
     /// Refused: trying again is harmless, after so many milliseconds (0: no advice).
     Refused(u64),
     /// Failed.
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,8 +4,9 @@
 
 use crate::call::{Answer, Call};
 use crate::figures::{self, Tally};
+use crate::held::Budget;
 use crate::order_file::OrderFile;
-use crate::peer::{self, Connection, Ended, Lines, Pools, Try};
+use crate::peer::{self, Begun, Connection, Ended, Lines, Pools, Streamed, Try};
 use crate::setup::{Bounds, Config};
 use crate::siblings::Talk;
 use crate::upstream_group::{News, Peer, UpstreamGroup, server_id};
@@ -67,6 +68,13 @@
         sent: Instant,
         ended: Ended,
     },
+    /// A try's answer is large, and has begun to come.
+    Begun {
+        id: RequestId,
+        attempt: u16,
+        sent: Instant,
+        streamed: Box<Streamed>,
+    },
     Dialled(Rc<Peer>, Option<Connection>),
     News(News),
     /// A look at the figures.
@@ -101,6 +109,7 @@
     next: Rc<Cell<u64>>,
     claims: Rc<Claims>,
     tally: Rc<RefCell<Tally>>,
+    budget: Budget,
     ready: Rc<watch::Sender<bool>>,
     draining: Rc<watch::Sender<bool>>,
 }
@@ -253,13 +262,14 @@
     call: Rc<Call>,
     class: ClassId,
     fragile: bool,
-    held: usize,
     deadline: Instant,
     answer: Option<oneshot::Sender<Answer>>,
     attempts: u16,
     /// Whether a try of it went to a connection that its peer had closed.
     stale: bool,
     out: Vec<(u16, oneshot::Sender<()>)>,
+    /// Whether its answer has begun to come, and was given to its client.
+    streams: bool,
     /// Its timers that have not fallen due. Guards memory: they go with the context, not at their time.
     timers: Vec<delay_queue::Key>,
 }
@@ -283,7 +293,6 @@
     inputs: mpsc::UnboundedReceiver<Input>,
     started: (Micros, Instant),
     contexts: FxHashMap<RequestId, RequestContext>,
-    held_bytes: usize,
     timers: DelayQueue<Due>,
     group: UpstreamGroup,
     maintenance: Maintenance,
@@ -306,8 +315,9 @@
         let (sender, inputs) = mpsc::unbounded_channel();
         let (next, ready, draining) = Default::default();
         let claims = Rc::new(Claims::new(&config.bounds));
+        let budget = Budget::new(config.bounds.held_bytes);
         let tally = Rc::new(RefCell::new(Tally::new(config.settings.classes.len())));
-        let handle = Handle { inputs: sender, next, claims, tally, ready, draining };
+        let handle = Handle { inputs: sender, next, claims, tally, budget, ready, draining };
         // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
         let unix = unix_us();
         let folder = config.folder.as_ref().filter(|_| config.operator.is_some());
@@ -326,7 +336,6 @@
             inputs,
             started: (unix, Instant::now()),
             contexts: FxHashMap::default(),
-            held_bytes: 0,
             timers: DelayQueue::new(),
             group: UpstreamGroup::new(config.names.clone(), config.settings.origin_kind),
             pools: Pools::new(config.bounds),
@@ -422,6 +431,7 @@
             Input::TryEnded { id, attempt, peer, sent, ended } => {
                 self.try_ended(id, attempt, &peer, sent, ended)
             }
+            Input::Begun { id, attempt, sent, streamed } => self.begun(id, attempt, sent, streamed),
             Input::Dialled(peer, connection) => self.pools.put(&peer, connection),
             Input::Look(figures) => {
                 let (census, open) = (self.router.census(self.now()), self.handle.claims.open.get());
@@ -513,12 +523,13 @@
     fn arrived(&mut self, id: RequestId, mut incoming: Incoming, answer: oneshot::Sender<Answer>) {
         // Guards places for requests: no client may have one kept for minutes.
         incoming.time_left = incoming.time_left.min(self.bounds.longest);
-        let held = incoming.call.value.as_ref().map_or(0, |v| v.len());
-        if self.held_bytes + held > self.bounds.held_bytes {
-            // Guards memory: turned away before the module hears of it.
-            return refuse_unseen(&self.handle.tally, incoming.class, answer);
+        if let Some(value) = incoming.call.value.as_ref().filter(|_| incoming.call.held.is_none()) {
+            incoming.call.held = self.handle.budget.hold(value.len());
+            if incoming.call.held.is_none() {
+                // Guards memory: turned away before the module hears of it.
+                return refuse_unseen(&self.handle.tally, incoming.class, answer);
+            }
         }
-        self.held_bytes += held;
         let request = Request {
             id,
             class: incoming.class,
@@ -531,18 +542,36 @@
             call: Rc::new(incoming.call),
             class: incoming.class,
             fragile: self.fragile.get(incoming.class.0 as usize).is_none_or(|fragile| *fragile),
-            held,
             deadline: Instant::now() + incoming.time_left,
             answer: Some(answer),
             attempts: 0,
             stale: false,
             out: Vec::new(),
+            streams: false,
             timers: vec![self.timers.insert(Due::Overdue(id), incoming.time_left + OVERDUE)],
         };
         self.contexts.insert(id, context);
         self.events.push_back(Event::Request(request));
     }
 
+    /// A large answer has begun: it is the client's now, and the module hears that its try has served. Nothing that becomes
+    /// of it later is tried again, and a client that takes its time does not count as a request that is out.
+    fn begun(&mut self, id: RequestId, attempt: u16, sent: Instant, streamed: Box<Streamed>) {
+        let Some(context) = self.contexts.get_mut(&id) else { return };
+        context.streams = true;
+        self.handle.claims.learn(streamed.window());
+        self.answer(id, Answer::Streamed(streamed));
+        self.events.push_back(Event::Outcome {
+            id,
+            attempt,
+            outcome: Outcome::Ok,
+            latency_us: sent.elapsed().as_micros() as Micros,
+            finished: true,
+            fetch_pending: false,
+            stale: false,
+        });
+    }
+
     fn try_ended(&mut self, id: RequestId, attempt: u16, peer: &Rc<Peer>, sent: Instant, ended: Ended) {
         self.handle.tally.borrow_mut().tried(peer.origin, &ended);
         self.pools.put(peer, ended.connection);
@@ -556,10 +585,15 @@
         if let Some(context) = self.contexts.get_mut(&id) {
             context.out.retain(|(n, _)| *n != attempt);
             context.stale |= ended.stale;
+            if context.streams {
+                // The module has heard of it; whether it came whole is known now.
+                self.handle.tally.borrow_mut().passed_on(context.class, ended.outcome == Outcome::Ok);
+                return self.forget(id);
+            }
         }
         if ended.outcome == Outcome::Ok {
             self.handle.claims.learn(ended.value.len());
-            self.answer(id, Answer::Served(ended.value));
+            self.answer(id, ended.large.map_or(Answer::Served(ended.value), Answer::Streamed));
         }
         let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
         self.events.push_back(Event::Outcome {
@@ -618,7 +652,6 @@
             return;
         }
         if let Some(context) = self.contexts.remove(&id) {
-            self.held_bytes -= context.held;
             for key in &context.timers {
                 self.timers.remove(key);
             }
@@ -709,7 +742,11 @@
         let lines = self.lines.clone();
         let (dial, fragile) = (self.bounds.dial, context.fragile);
         let tally = self.handle.tally.clone();
-        let this = Try { peer: peer.clone(), call, line, dial, until, fragile, lines, tally };
+        let (budget, begins) = (self.handle.budget.clone(), self.handle.inputs.clone());
+        let begun = Begun(Box::new(move |streamed| {
+            let _ = begins.send(Input::Begun { id, attempt, sent, streamed });
+        }));
+        let this = Try { peer: peer.clone(), call, line, dial, until, fragile, lines, budget, begun, tally };
         let inputs = self.handle.inputs.clone();
         tokio::task::spawn_local(async move {
             let ended = this.run(cancelled).await;
@@ -766,14 +803,14 @@
         for n in 0..1_000 {
             let word = Bytes::from(format!("{n:x}"));
             let (command, key, id, options) = (word.clone(), word.clone(), word.clone(), word.clone());
-            let call = Call { command, key, id, options, time_at: 0..0, value: None };
+            let call = Call { command, key, id, options, time_at: 0..0, value: None, held: None };
             let time_left = Duration::from_secs(60);
             let (class, tenant) = (ClassId(0), TenantId(0));
             let ticket = handle.submit(Incoming { class, tenant, key: Some(Key(n)), time_left, call });
             let input = engine.inputs.recv().await.unwrap();
             engine.take(input);
             engine.settle();
-            assert_eq!(ticket.unwrap().await, Answer::Refused(0), "there is no server");
+            assert!(matches!(ticket.unwrap().await, Answer::Refused(0)), "there is no server");
         }
         assert!(engine.timers.is_empty(), "{} timers, kept for a minute", engine.timers.len());
         let told = engine.handle.tally.borrow().to_string();
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -49,11 +49,20 @@
         let Some(answers) = self.classes.get_mut(usize::from(class.0)) else { return };
         *match answer {
             Answer::Served(_) => &mut answers.served,
+            Answer::Streamed(streamed) if streamed.whole() => &mut answers.served,
+            Answer::Streamed(_) => return, // it has only begun
             Answer::Refused(_) => &mut answers.refused,
             Answer::Failed => &mut answers.failed,
         } += 1;
     }
 
+    /// Counts a large answer as it has been passed on, whole or broken off.
+    pub fn passed_on(&mut self, class: ClassId, whole: bool) {
+        if let Some(answers) = self.classes.get_mut(usize::from(class.0)) {
+            *if whole { &mut answers.served } else { &mut answers.failed } += 1;
+        }
+    }
+
     /// Counts the end of a try.
     pub fn tried(&mut self, at_origin: bool, ended: &Ended) {
         let word = match ended.outcome {
--- a/crates/gateway/src/front/client.rs
+++ b/crates/gateway/src/front/client.rs
@@ -4,6 +4,7 @@
 use super::{Front, Winding};
 use crate::call::Answer;
 use crate::engine::Ticket;
+use crate::peer::Streamed;
 use admission::{ConnectionId, Patience};
 use bytes::{BufMut, BytesMut};
 use proto::resp;
@@ -20,7 +21,7 @@
 const MOST_WAITING: usize = 32;
 /// Bytes of answers that are gathered before they are written.
 const MOST_GATHERED: usize = 256 * 1024;
-/// How long a client may take to read an answer.
+/// How long a client may take nothing of an answer.
 const WRITE_TIME: Duration = Duration::from_secs(5);
 /// How long a client that was closed while idle is looked at for a command that crossed the close.
 const CROSSING: Duration = Duration::from_millis(20);
@@ -33,6 +34,7 @@
 enum Reply {
     Now(BytesMut),
     Later(Ticket),
+    Streamed(Box<Streamed>),
 }
 
 /// What the places were last told of a connection.
@@ -68,13 +70,28 @@
     Reply::Now(BytesMut::from(text.as_bytes()))
 }
 
-fn put_answer(out: &mut BytesMut, answer: &Answer) {
+fn worded(answer: Answer) -> Reply {
+    let mut out = BytesMut::new();
     match answer {
-        Answer::Served(value) => resp::put_bulk(out, value),
+        Answer::Served(value) => resp::put_bulk(&mut out, &value),
+        Answer::Streamed(streamed) => return Reply::Streamed(streamed),
         Answer::Refused(0) => out.put_slice(b"-BUSY\r\n"),
         Answer::Refused(ms) => out.put_slice(format!("-BUSY {ms}\r\n").as_bytes()),
         Answer::Failed => out.put_slice(b"-ERR failed\r\n"),
     }
+    Reply::Now(out)
+}
+
+/// Writes all of it, for as long as the client goes on taking some: one that reads slowly is not cut off.
+async fn write(stream: &mut TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let written = timeout(WRITE_TIME, stream.write(bytes)).await;
+        match written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            n => bytes = &bytes[n..],
+        }
+    }
+    Ok(())
 }
 
 async fn next_answer(replies: &mut VecDeque<Reply>) -> Answer {
@@ -114,11 +131,14 @@
         loop {
             self.gather(&mut out);
             if !out.is_empty() {
-                let written = timeout(WRITE_TIME, self.stream.write_all(&out)).await;
-                written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+                write(&mut self.stream, &out).await?;
                 out.clear();
                 continue;
             }
+            if let Some(Reply::Streamed(_)) = self.replies.front() {
+                self.pass_on().await?;
+                continue;
+            }
             if self.ending && self.replies.is_empty() {
                 return self.linger().await;
             }
@@ -136,9 +156,7 @@
             let close = tokio::select! {
                 biased;
                 answer = next_answer(&mut self.replies) => {
-                    let mut bytes = BytesMut::new();
-                    put_answer(&mut bytes, &answer);
-                    self.replies[0] = Reply::Now(bytes);
+                    self.replies[0] = worded(answer);
                     self.answered_at = winding.map(|_| Instant::now());
                     false
                 }
@@ -190,6 +208,22 @@
         }
     }
 
+    /// Passes on the large answer that is due, as it comes. If it breaks off, so does the client's connection: it can tell
+    /// by the length that went ahead.
+    async fn pass_on(&mut self) -> io::Result<()> {
+        let Some(Reply::Streamed(mut streamed)) = self.replies.pop_front() else { return Ok(()) };
+        let mut head = BytesMut::with_capacity(16);
+        resp::put_bulk_head(&mut head, streamed.length());
+        write(&mut self.stream, &head).await?;
+        while !streamed.done() {
+            let bytes = streamed.next().await?;
+            let taken = bytes.len();
+            write(&mut self.stream, bytes).await?;
+            streamed.take(taken);
+        }
+        write(&mut self.stream, b"\r\n").await
+    }
+
     /// Reads the commands that are whole, as far as there are places for their answers.
     fn parse(&mut self) {
         while !self.ending && self.replies.len() < MOST_WAITING {
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -92,6 +92,7 @@
             options: options.clone(),
             time_at,
             value: words.get(4).cloned(),
+            held: None,
         },
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod figures;
 pub mod front;
+pub mod held;
 pub mod order_file;
 pub mod peer;
 pub mod seldom;
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -1,15 +1,17 @@
 //! One try: dial if need be, write the request, read the answer, within its time.
 
-use super::{Connection, DialPlace, Line};
+use super::{Connection, DialPlace, Line, Streamed};
 use crate::call::Call;
 use crate::figures::Tally;
+use crate::held::{Budget, Held};
 use crate::seldom::Seldom;
 use crate::upstream_group::Peer;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use decide::api::Outcome;
-use proto::http::{self, Whole};
-use proto::{MAX_VALUE, resp};
+use proto::http::{self, Decoder, Piece};
+use proto::{LARGEST_VALUE, MAX_VALUE, ProtoError, resp};
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,6 +36,10 @@
     pub fragile: bool,
     /// What it may log.
     pub lines: Rc<Lines>,
+    /// The room for answers that must be held whole though they are large.
+    pub budget: Budget,
+    /// Is handed a large answer whose value follows: the try has served from then on, and ends when that has come.
+    pub begun: Begun,
     /// Where it is counted once it is written whole.
     pub tally: Rc<RefCell<Tally>>,
 }
@@ -44,6 +50,7 @@
     bad_answer: Seldom,
     refused: Seldom,
     none_to_spare: Seldom,
+    no_room: Seldom,
 }
 
 /// How a try ended.
@@ -53,6 +60,8 @@
     pub outcome: Outcome,
     /// What was served.
     pub value: Bytes,
+    /// The same where it is large and was held whole.
+    pub large: Option<Box<Streamed>>,
     /// On a miss: another fetch of the key is out.
     pub pending: bool,
     /// It was lost with its connection, which tells nothing of the peer: one that was used before broke without a byte
@@ -72,11 +81,26 @@
     Opening,
     Writing,
     Written,
+    /// Its answer is the client's now: neither its time nor a cancel ends it.
+    Begun,
+}
+
+/// How long what follows a large value may take: the client does not wait for it, the connection does.
+const TAIL_TIME: Duration = Duration::from_millis(500);
+
+/// Takes a large answer that has begun.
+pub struct Begun(pub Box<dyn FnOnce(Box<Streamed>)>);
+
+impl fmt::Debug for Begun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Begun")
+    }
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, value: Bytes::new(), pending: false, stale: false, connection: None }
+        let (value, large) = Default::default();
+        Self { outcome, value, large, pending: false, stale: false, connection: None }
     }
 }
 
@@ -84,11 +108,17 @@
     /// Runs the try. When it returns without its connection, that is already closed: nothing of it is out.
     pub async fn run(self, cancelled: oneshot::Receiver<()>) -> Ended {
         let (until, stage) = (self.until, Cell::new(Stage::Opening));
-        let ended = tokio::select! {
+        let exchange = self.exchange(&stage);
+        tokio::pin!(exchange);
+        let given_up = tokio::select! {
             biased;
-            _ = cancelled => Ended::from(Outcome::Cancelled),
-            ended = timeout_at(until, self.exchange(&stage)) => ended.unwrap_or(Outcome::Timeout.into()),
+            _ = cancelled => Outcome::Cancelled,
+            ended = timeout_at(until, &mut exchange) => match ended {
+                Ok(ended) => return ended,
+                Err(_) => Outcome::Timeout,
+            }
         };
+        let ended = if stage.get() == Stage::Begun { exchange.await } else { given_up.into() };
         match (ended.outcome, stage.get()) {
             // The request's time ended before the dial's did: that is no proof of an unreachable peer.
             (Outcome::Timeout, Stage::Opening) => Outcome::Moot.into(),
@@ -130,12 +160,21 @@
         stage.set(Stage::Written);
         self.tally.borrow_mut().attempts += u64::from(!self.peer.origin);
         let answer = if self.peer.origin {
-            read_http(&mut connection).await
+            read_http(&mut connection, &self.budget, &self.peer.name, &self.lines).await
         } else {
             read_resp(&mut connection, &self.peer.name, &self.lines).await
         };
         match answer {
-            Ok((ended, keep)) => Ended { connection: keep.then_some(connection), ..ended },
+            Ok(Read::Whole(ended, keep)) => Ended { connection: keep.then_some(connection), ..ended },
+            Ok(Read::Large { length, keep, tail }) => {
+                let (streamed, back) = Streamed::of_peer(length, connection);
+                stage.set(Stage::Begun);
+                (self.begun.0)(Box::new(streamed));
+                // One that does not come back broke off in the value, or its client did.
+                let Ok(connection) = back.await else { return Outcome::Reset.into() };
+                let connection = if keep { read_tail(connection, tail).await } else { None };
+                Ended { connection, ..Outcome::Ok.into() }
+            }
             Err(Broken::Reset) => {
                 Ended { stale: reused && connection.buffer.is_empty(), ..Outcome::Reset.into() }
             }
@@ -238,7 +277,30 @@
     }
 }
 
-async fn read_resp(connection: &mut Connection, name: &str, lines: &Lines) -> Result<(Ended, bool), Broken> {
+/// An answer, as far as it is read at once.
+enum Read {
+    /// Whole, and whether its connection can be used again.
+    Whole(Ended, bool),
+    /// A large value follows, and behind it its tail.
+    Large { length: usize, keep: bool, tail: Option<resp::Tail> },
+}
+
+/// Reads what follows a large value, so that its connection can be used again.
+async fn read_tail(mut connection: Connection, tail: Option<resp::Tail>) -> Option<Connection> {
+    let Some(tail) = tail else { return Some(connection) };
+    let read = async {
+        loop {
+            match resp::next_tail(&mut connection.buffer, tail) {
+                Ok(None) => more(&mut connection).await.ok()?,
+                Ok(Some(())) => return Some(()),
+                Err(_) => return None,
+            }
+        }
+    };
+    timeout(TAIL_TIME, read).await.ok().flatten().map(|()| connection)
+}
+
+async fn read_resp(connection: &mut Connection, name: &str, lines: &Lines) -> Result<Read, Broken> {
     loop {
         let Some(answer) = resp::next_answer(&mut connection.buffer)? else {
             more(connection).await?;
@@ -246,6 +308,9 @@
         };
         let ended = match answer {
             resp::Answer::Served(value) => Ended { value, ..Outcome::Ok.into() },
+            resp::Answer::Large { length, tail } => {
+                return Ok(Read::Large { length, keep: true, tail: Some(tail) });
+            }
             resp::Answer::Miss { pending } => Ended { pending, ..Outcome::Miss.into() },
             resp::Answer::Busy => Outcome::Full.into(),
             resp::Answer::Failed(text) => {
@@ -256,22 +321,82 @@
                 Outcome::Error.into()
             }
         };
-        return Ok((ended, true));
+        return Ok(Read::Whole(ended, true));
     }
 }
 
-async fn read_http(connection: &mut Connection) -> Result<(Ended, bool), Broken> {
-    let mut whole = Whole::new(MAX_VALUE);
+async fn read_http(
+    connection: &mut Connection, budget: &Budget, name: &str, lines: &Lines,
+) -> Result<Read, Broken> {
+    let mut decoder = Decoder::new(LARGEST_VALUE);
+    let head = loop {
+        match decoder.next(&mut connection.buffer)? {
+            Some(Piece::Head(head)) => break head,
+            _ => more(connection).await?,
+        }
+    };
+    if let (200, Some(length)) = (head.status, head.large()) {
+        return Ok(Read::Large { length, keep: head.keep, tail: None });
+    }
+    // Most bodies are one slice. Those in pieces are put together, the large ones among them within the budget.
+    let (mut value, mut gathered, mut held) = (Bytes::new(), BytesMut::new(), None::<Held>);
     loop {
-        let Some((head, value)) = whole.next(&mut connection.buffer)? else {
-            more(connection).await?;
-            continue;
-        };
-        let ended = match head.status {
-            200 => Ended { value, ..Outcome::Ok.into() },
-            503 | 504 if head.declined => Outcome::Full.into(),
-            _ => Outcome::Error.into(),
+        let piece = match decoder.next(&mut connection.buffer)? {
+            Some(piece) => piece,
+            None => match more_or_end(connection).await? {
+                Some(()) => continue,
+                None => decoder.ended().ok_or(Broken::Reset)?,
+            },
         };
-        return Ok((ended, head.keep));
+        match piece {
+            Piece::Head(_) => {}
+            Piece::Data(part) if value.is_empty() && gathered.is_empty() => value = part,
+            Piece::Data(part) => {
+                let length = gathered.len().max(value.len()) + part.len();
+                if length > LARGEST_VALUE {
+                    return Err(ProtoError::TooLong("body").into());
+                }
+                if length > MAX_VALUE {
+                    let room = match &mut held {
+                        Some(held) => held.grow(part.len()),
+                        None => {
+                            held = budget.hold(length);
+                            held.is_some()
+                        }
+                    };
+                    if !room {
+                        if let Some(more) = lines.no_room.line() {
+                            log::warn!("peer {name}: no room to hold an answer without a stated length{more}");
+                        }
+                        return Ok(Read::Whole(Outcome::Error.into(), false));
+                    }
+                }
+                if gathered.is_empty() {
+                    gathered.put_slice(&std::mem::take(&mut value));
+                }
+                gathered.put_slice(&part);
+            }
+            Piece::End => break,
+        }
+    }
+    let value = if gathered.is_empty() { value } else { gathered.freeze() };
+    let ended = match (head.status, held) {
+        (200, None) => Ended { value, ..Outcome::Ok.into() },
+        (200, Some(held)) => {
+            let large = Some(Box::new(Streamed::of_memory(value, held)));
+            Ended { large, ..Outcome::Ok.into() }
+        }
+        (503 | 504, _) if head.declined => Outcome::Full.into(),
+        _ => Outcome::Error.into(),
+    };
+    Ok(Read::Whole(ended, head.keep))
+}
+
+/// Reads more; `None` when the other side has ended the connection in order.
+async fn more_or_end(connection: &mut Connection) -> Result<Option<()>, Broken> {
+    match connection.stream.read_buf(&mut connection.buffer).await {
+        Ok(0) => Ok(None),
+        Ok(_) => Ok(Some(())),
+        Err(_) => Err(Broken::Reset),
     }
 }
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -1,12 +1,13 @@
 //! Connections to peers and the origin: the pools, and one try on one connection.
 
 mod exchange;
+mod streamed;
 
 use crate::setup::Bounds;
 use crate::upstream_group::Peer;
 use bytes::BytesMut;
 use decide::api::ServerId;
-pub use exchange::{Ended, Lines, Try, dial};
+pub use exchange::{Begun, Ended, Lines, Try, dial};
 use rustc_hash::FxHashMap;
 use socket2::SockRef;
 use std::cell::Cell;
@@ -14,6 +15,7 @@
 use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
+pub use streamed::Streamed;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
--- /dev/null
+++ b/crates/gateway/src/peer/streamed.rs
@@ -0,0 +1,120 @@
+//! A large answer on its way: the peer's connection, lent to the client's until the value has been passed on.
+
+use super::Connection;
+use crate::held::Held;
+use bytes::{Buf, Bytes};
+use proto::MAX_VALUE;
+use std::fmt;
+use std::io;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// What is read ahead of a client at most. Bounds the memory of a stream, whatever its size.
+const WINDOW: usize = 32 * 1024;
+/// How long a peer may give nothing in the middle of a value. Until then it is not cut off.
+const PEER_TIME: Duration = Duration::from_secs(5);
+
+/// A large answer whose length is known. What has not been taken when it is dropped closes the peer's connection.
+pub struct Streamed {
+    length: usize,
+    left: usize,
+    source: Source,
+}
+
+enum Source {
+    Peer {
+        connection: Connection,
+        /// Hands the connection back.
+        back: oneshot::Sender<Connection>,
+    },
+    /// It was held whole, since its length was not stated.
+    Memory { value: Bytes, _held: Held },
+    Taken,
+}
+
+impl Streamed {
+    /// A value of this length, of which the connection gives the rest; it is handed back when all has come.
+    pub(super) fn of_peer(length: usize, connection: Connection) -> (Self, oneshot::Receiver<Connection>) {
+        let (back, connection_back) = oneshot::channel();
+        let source = Source::Peer { connection, back };
+        (Self { length, left: length, source }, connection_back)
+    }
+
+    /// A value that was held whole.
+    pub(super) fn of_memory(value: Bytes, held: Held) -> Self {
+        Self { length: value.len(), left: value.len(), source: Source::Memory { value, _held: held } }
+    }
+
+    /// The length of the value.
+    #[must_use]
+    pub fn length(&self) -> usize {
+        self.length
+    }
+
+    /// Whether all of it has come already.
+    #[must_use]
+    pub fn whole(&self) -> bool {
+        matches!(self.source, Source::Memory { .. })
+    }
+
+    /// The memory that it takes until it is done, beyond what the budget for held values covers.
+    #[must_use]
+    pub fn window(&self) -> usize {
+        if self.whole() { 0 } else { WINDOW }
+    }
+
+    /// Whether all of it has been taken.
+    #[must_use]
+    pub fn done(&self) -> bool {
+        self.left == 0
+    }
+
+    /// What has come of it and was not taken yet, at least a byte; to be called while it is not [`Streamed::done`].
+    ///
+    /// # Errors
+    /// When the peer breaks off, or is silent for too long: the rest will not come.
+    pub async fn next(&mut self) -> io::Result<&[u8]> {
+        let come = match &mut self.source {
+            Source::Peer { connection, .. } => {
+                let buffer = &mut connection.buffer;
+                if buffer.is_empty() {
+                    buffer.reserve(WINDOW);
+                    let read = timeout(PEER_TIME, connection.stream.read_buf(buffer)).await;
+                    if read.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+                &buffer[..]
+            }
+            Source::Memory { value, .. } => &value[..],
+            Source::Taken => &[],
+        };
+        Ok(&come[..come.len().min(self.left)])
+    }
+
+    /// Takes so many bytes of what [`Streamed::next`] gave. With the last one, the peer's connection goes back.
+    pub fn take(&mut self, bytes: usize) {
+        self.left -= bytes;
+        match &mut self.source {
+            Source::Peer { connection, .. } => connection.buffer.advance(bytes),
+            Source::Memory { value, .. } => value.advance(bytes),
+            Source::Taken => {}
+        }
+        if self.done()
+            && let Source::Peer { mut connection, back } = std::mem::replace(&mut self.source, Source::Taken)
+        {
+            if connection.buffer.capacity() > MAX_VALUE {
+                connection.buffer = bytes::BytesMut::from(&connection.buffer[..]); // a pool keeps no windows
+            }
+            let _ = back.send(connection); // its try waits for it
+        }
+    }
+}
+
+impl fmt::Debug for Streamed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} of {} bytes left", self.left, self.length)
+    }
+}
--- a/crates/gateway/src/setup.rs
+++ b/crates/gateway/src/setup.rs
@@ -56,7 +56,7 @@
     pub clients: usize,
     /// Connections to peers and the origin held at a time, idle ones included.
     pub peers: usize,
-    /// Bytes of requests' values held at a time.
+    /// Bytes of values held at a time: of requests, and of large answers that must be whole before they are passed on.
     pub held_bytes: usize,
     /// Requests taken at a time whose answers have not been written.
     pub open: usize,
--- a/crates/gateway/tests/tries.rs
+++ b/crates/gateway/tests/tries.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use decide::api::Outcome;
 use gateway::call::Call;
-use gateway::peer::{Line, Pools, Try};
+use gateway::held::Budget;
+use gateway::peer::{Begun, Line, Pools, Try};
 use gateway::setup::{Bounds, Names};
 use gateway::upstream_group::{Peer, UpstreamGroup, server_id};
 use proto::discovery::{List, Member, Phase};
@@ -69,6 +70,8 @@
         until,
         fragile: false,
         lines,
+        budget: Budget::new(0),
+        begun: Begun(Box::new(|_| ())),
         tally: Rc::default(),
     }
     .run(cancelled)
--- a/crates/proto/src/http.rs
+++ b/crates/proto/src/http.rs
@@ -35,6 +35,18 @@
 enum Body {
     Length(usize),
     Chunked,
+    UntilEnd,
+}
+
+impl Head {
+    /// The length of the body, where it is stated and more than is read as one message.
+    #[must_use]
+    pub fn large(&self) -> Option<usize> {
+        match self.body {
+            Body::Length(n) if n > MAX_VALUE => Some(n),
+            _ => None,
+        }
+    }
 }
 
 /// Where the decoder is in an answer.
@@ -46,6 +58,7 @@
     Chunk(usize),
     ChunkEnd,
     Trailer,
+    UntilEnd,
 }
 
 /// What the decoder found next.
@@ -113,8 +126,13 @@
     if bodiless {
         found.body = Body::Length(0);
     } else if found.body != Body::Chunked {
-        // An answer without a stated end cannot be told from a broken one.
-        found.body = Body::Length(length.ok_or(ErrMode::Cut(ContextError::new()))?);
+        found.body = match length {
+            Some(length) => Body::Length(length),
+            // It ends with its connection, which says so.
+            None if !found.keep => Body::UntilEnd,
+            // Any other without a stated end cannot be told from a broken one.
+            None => return Err(ErrMode::Cut(ContextError::new())),
+        };
     }
     Ok(found)
 }
@@ -177,6 +195,7 @@
                         Body::Length(n) if n > self.max_length => return Err(ProtoError::TooLong("body")),
                         Body::Length(n) => State::Length(n),
                         Body::Chunked => State::ChunkLine,
+                        Body::UntilEnd => State::UntilEnd,
                     };
                     return Ok(Some(Piece::Head(head)));
                 }
@@ -184,7 +203,7 @@
                     self.state = State::Head;
                     return Ok(Some(Piece::End));
                 }
-                // A stated length is small: it is waited for and given as one slice.
+                // Most are small: waited for and given as one slice.
                 State::Length(n) if buffer.len() < n => return Ok(None),
                 State::Length(n) => {
                     self.state = State::Length(0);
@@ -201,6 +220,8 @@
                     self.state = if left == 0 { State::ChunkEnd } else { State::Chunk(left) };
                     return Ok(Some(Piece::Data(part)));
                 }
+                State::UntilEnd if buffer.is_empty() => return Ok(None),
+                State::UntilEnd => return Ok(Some(Piece::Data(buffer.split().freeze()))),
                 State::ChunkEnd => {
                     if take(buffer, 2, "chunk", |input| crlf.void().parse_next(input))?.is_none() {
                         return Ok(None);
@@ -219,6 +240,16 @@
     }
 }
 
+impl Decoder {
+    /// The connection has ended, after a whole message of TCP and not by a reset: whether that ends the body.
+    pub fn ended(&mut self) -> Option<Piece> {
+        (self.state == State::UntilEnd).then(|| {
+            self.state = State::Head;
+            Piece::End
+        })
+    }
+}
+
 /// Gathers the pieces of one answer with a body of bounded size.
 #[derive(Debug, Default)]
 pub struct Whole {
--- a/crates/proto/src/resp.rs
+++ b/crates/proto/src/resp.rs
@@ -1,7 +1,7 @@
 //! RESP2: the commands of clients, the answers of peers, and what is written to both.
 
-use crate::{MAX_VALUE, ProtoError};
-use bytes::{BufMut, Bytes, BytesMut};
+use crate::{LARGEST_VALUE, MAX_VALUE, ProtoError};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::ops::Range;
 use winnow::ascii::{crlf, dec_int};
 use winnow::combinator::{alt, dispatch, fail, preceded, repeat, terminated};
@@ -48,22 +48,40 @@
     Busy,
     /// Failed; it may have run. The text is the peer's.
     Failed(Bytes),
+    /// Served, with a large value that follows on the connection; behind it comes its [`Tail`].
+    Large {
+        /// The value's length.
+        length: usize,
+        /// What follows it.
+        tail: Tail,
+    },
 }
 
+/// What follows a large value: the end of its line, and so many parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tail(usize);
+
 fn number(input: &mut Input<'_>) -> Parsed<i64> {
     terminated(dec_int, crlf).parse_next(input)
 }
 
-/// The bytes of a bulk string after its `$`; `None` for the null one.
-fn bulk_body(input: &mut Input<'_>) -> Parsed<Option<Range<usize>>> {
+/// The length of a bulk string after its `$`; `None` for the null one.
+fn bulk_length(input: &mut Input<'_>) -> Parsed<Option<usize>> {
     let len = number.parse_next(input)?;
     if len == -1 {
         return Ok(None);
     }
     // Guards memory: a length is refused before any of its bytes are waited for.
-    let len = usize::try_from(len).ok().filter(|&len| len <= MAX_VALUE);
-    let Some(len) = len else { return Err(ErrMode::Cut(ContextError::new())) };
-    terminated(take(len).span(), crlf).map(Some).parse_next(input)
+    let len = usize::try_from(len).ok().filter(|&len| len <= LARGEST_VALUE);
+    len.map(Some).ok_or_else(|| ErrMode::Cut(ContextError::new()))
+}
+
+/// The bytes of a bulk string after its `$`; `None` for the null one.
+fn bulk_body(input: &mut Input<'_>) -> Parsed<Option<Range<usize>>> {
+    match bulk_length.parse_next(input)? {
+        Some(len) => terminated(take(len).span(), crlf).map(Some).parse_next(input),
+        None => Ok(None),
+    }
 }
 
 fn word(input: &mut Input<'_>) -> Parsed<Range<usize>> {
@@ -101,18 +119,41 @@
     alt((array, preceded(b'-', line).map(Shape::Error))).parse_next(input)
 }
 
-/// Runs a parser over what has been read: `None` while the message is not whole.
+/// The start of an array whose first part is a large value: how many parts it has, and the value's length.
+fn large(input: &mut Input<'_>) -> Parsed<(usize, usize)> {
+    let parts = preceded(b'*', number).verify(|n| (1..=MAX_WORDS).contains(n)).parse_next(input)?;
+    let mut length = preceded(b'$', bulk_length).verify_map(|len| len.filter(|len| *len > MAX_VALUE));
+    Ok((parts as usize, length.parse_next(input)?))
+}
+
+/// The end of a large value, and the parts behind it.
+fn tail(parts: usize) -> impl FnMut(&mut Input<'_>) -> Parsed<()> {
+    move |input| {
+        crlf.void().parse_next(input)?;
+        repeat::<_, _, (), _, _>(parts, part.void()).parse_next(input)
+    }
+}
+
+/// The words of a command ahead of its last, and the length of that one, which may not have come.
+fn last_word(input: &mut Input<'_>) -> Parsed<(Vec<Range<usize>>, usize)> {
+    let words = preceded(b'*', number).verify(|n| (1..=MAX_WORDS).contains(n)).parse_next(input)?;
+    let ahead = repeat(words as usize - 1, word).parse_next(input)?;
+    let length = preceded(b'$', bulk_length).verify_map(|len| len).parse_next(input)?;
+    Ok((ahead, length))
+}
+
+/// Runs a parser over what has been read: `None` while the message of at most so many bytes is not whole.
 fn run<'a, T>(
-    buffer: &'a [u8], what: &'static str, mut parser: impl FnMut(&mut Input<'a>) -> Parsed<T>,
+    buffer: &'a [u8], most: usize, what: &'static str, mut parser: impl FnMut(&mut Input<'a>) -> Parsed<T>,
 ) -> Result<Option<(T, usize)>, ProtoError> {
     let mut input = Partial::new(LocatingSlice::new(buffer));
     match parser(&mut input) {
         Ok(found) => {
             let end = buffer.len() - input.len();
-            if end > MAX_MESSAGE { Err(ProtoError::TooLong(what)) } else { Ok(Some((found, end))) }
+            if end > most { Err(ProtoError::TooLong(what)) } else { Ok(Some((found, end))) }
         }
         // Guards memory against a message that never ends.
-        Err(ErrMode::Incomplete(_)) if buffer.len() > MAX_MESSAGE => Err(ProtoError::TooLong(what)),
+        Err(ErrMode::Incomplete(_)) if buffer.len() > most => Err(ProtoError::TooLong(what)),
         Err(ErrMode::Incomplete(_)) => Ok(None),
         Err(_) => Err(ProtoError::Malformed(what)),
     }
@@ -123,19 +164,68 @@
 /// # Errors
 /// When the bytes are no command; the connection cannot go on.
 pub fn next_command(buffer: &mut BytesMut) -> Result<Option<Command>, ProtoError> {
-    let Some((words, end)) = run(buffer, "command", command)? else { return Ok(None) };
+    command_of(buffer, MAX_MESSAGE)
+}
+
+fn command_of(buffer: &mut BytesMut, most: usize) -> Result<Option<Command>, ProtoError> {
+    let Some((words, end)) = run(buffer, most, "command", command)? else { return Ok(None) };
     let message = buffer.split_to(end).freeze();
     Ok(Some(Command(words.into_iter().map(|at| message.slice(at)).collect())))
 }
 
+/// Takes the next command off the buffer, which may end with a large value, once it has all come.
+///
+/// # Errors
+/// When the bytes are no command; the connection cannot go on.
+pub fn next_large_command(buffer: &mut BytesMut) -> Result<Option<Command>, ProtoError> {
+    command_of(buffer, MAX_HEAD + LARGEST_VALUE)
+}
+
+/// A command of which everything has come but its last word.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unfinished {
+    /// The words ahead of the last.
+    pub words: Command,
+    /// Bytes of the whole command, as it states them.
+    pub bytes: usize,
+    /// Whether the last word is large.
+    pub large: bool,
+}
+
+/// What is known of a command that is not whole: `None` while that is less than the length of its last word.
+///
+/// # Errors
+/// When the bytes are no command; the connection cannot go on.
+pub fn unfinished(buffer: &[u8]) -> Result<Option<Unfinished>, ProtoError> {
+    let Some(((words, length), end)) = run(buffer, MAX_HEAD + LARGEST_VALUE, "command", last_word)? else {
+        return Ok(None);
+    };
+    let words = Command(words.into_iter().map(|at| Bytes::copy_from_slice(&buffer[at])).collect());
+    Ok(Some(Unfinished { words, bytes: end + length + 2, large: length > MAX_VALUE }))
+}
+
 /// Takes a peer's next whole answer off the buffer; `None` while it has not all come.
 ///
 /// # Errors
 /// When the bytes are no answer; the connection cannot go on.
 pub fn next_answer(buffer: &mut BytesMut) -> Result<Option<Answer>, ProtoError> {
-    let Some((shape, end)) = run(buffer, "answer", answer)? else { return Ok(None) };
+    let whole = if buffer.len() > MAX_VALUE { None } else { run(buffer, MAX_MESSAGE, "answer", answer)? };
+    let Some((shape, end)) = whole else {
+        if let Ok(Some(((parts, length), end))) = run(buffer, usize::MAX, "answer", large) {
+            buffer.advance(end);
+            return Ok(Some(Answer::Large { length, tail: Tail(parts - 1) }));
+        }
+        return match run(buffer, MAX_MESSAGE, "answer", answer)? {
+            Some((shape, end)) => answer_of(buffer, shape, end).map(Some),
+            None => Ok(None),
+        };
+    };
+    answer_of(buffer, shape, end).map(Some)
+}
+
+fn answer_of(buffer: &mut BytesMut, shape: Shape, end: usize) -> Result<Answer, ProtoError> {
     let message = buffer.split_to(end).freeze();
-    Ok(Some(match shape {
+    Ok(match shape {
         Shape::Error(at) => {
             let text = message.slice(at);
             let busy = text.strip_prefix(b"BUSY").is_some_and(|rest| rest.first().is_none_or(|b| *b == b' '));
@@ -152,7 +242,17 @@
             }
             Part::Line(_) => return Err(ProtoError::Malformed("answer")),
         },
-    }))
+    })
+}
+
+/// Takes what follows a large value off the buffer; `None` while it has not all come.
+///
+/// # Errors
+/// When the bytes are nothing of the kind; the connection cannot go on.
+pub fn next_tail(buffer: &mut BytesMut, Tail(parts): Tail) -> Result<Option<()>, ProtoError> {
+    let Some(((), end)) = run(buffer, MAX_MESSAGE, "answer", tail(parts))? else { return Ok(None) };
+    buffer.advance(end);
+    Ok(Some(()))
 }
 
 /// A decimal number and a line end, without formatting machinery.
@@ -162,6 +262,11 @@
     out.put_slice(b"\r\n");
 }
 
+/// Appends what goes ahead of the bytes of a bulk string; a line end goes behind them.
+pub fn put_bulk_head(out: &mut BytesMut, length: usize) {
+    put_count(out, b'$', length);
+}
+
 /// Appends one bulk string.
 pub fn put_bulk(out: &mut BytesMut, bytes: &[u8]) {
     out.reserve(bytes.len() + 16);
