Wait for what is left until shortly before the platform ends a process

Cause: the process ended after the longest deadline (0.67 s) and 0.15 s, ahead of the 1.5 s after which idle connections are closed: 60 connections were reset at once. Now it waits until 0.2 s before SIGKILL may come.

--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -15,7 +15,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// New connections keep coming for this long after SIGTERM.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
@@ -26,8 +26,10 @@
 const TALK_AGAIN: Duration = Duration::from_millis(200);
 /// The file that names the process which serves.
 const SERVING: &str = "spindlebeam-serving";
-/// What is left this long after the last deadline is not waited for.
-const LAST_CALL: Duration = Duration::from_millis(150);
+/// The platform ends the process this long after SIGTERM, or after the longest deadline where that is more, and 0.7 s: what
+/// is left is waited for until shortly before, also an answer that its client reads slowly.
+const GIVEN: Duration = Duration::from_secs(3);
+const LAST_CALL: Duration = Duration::from_millis(500);
 
 /// Serves as this file says until SIGTERM or SIGINT, and then until what was taken is answered.
 ///
@@ -143,6 +145,7 @@
         ended = group => bail!("the watch of discovery has stopped: {ended:?}"),
         ended = reload => bail!("rereading the configuration has stopped: {ended:?}"),
     }
+    let terminated = Instant::now();
     if shared.is_some_and(|shared| shared.has_successor()) {
         log::info!("another process serves: accepting no more");
         let _ = stop.send(());
@@ -153,7 +156,7 @@
         let _ = accepting.await;
         front.wind_down(Duration::ZERO);
     }
-    if timeout(bounds.longest + LAST_CALL, front.emptied()).await.is_err() {
+    if timeout_at(terminated + bounds.longest.max(GIVEN) + LAST_CALL, front.emptied()).await.is_err() {
         log::warn!("some client connections were still busy at the end");
     }
     log::info!("{name}: done");
