--- a/crates/admission/src/places.rs
+++ b/crates/admission/src/places.rs
@@ -11,8 +11,9 @@
 /// One whose command has been awaited for this long gives way first. A usual client sends its first as soon as it is
 /// connected.
 const AWAITED_FOR: Micros = 250_000;
-/// How long a command is awaited, from its first byte on, and a connection's first from connecting on.
-const COMMAND_TIME: Micros = 2_000_000;
+/// How long a command is awaited, from its first byte on, and a connection's first from connecting on. A usual client may
+/// take 2 s over the head of one; a bad one is owed an error 3 s after connecting.
+const COMMAND_TIME: Micros = 2_500_000;
 /// The same for one from an address that opens or holds too many in silence: until it would give way first.
 const SUSPECT_TIME: Micros = AWAITED_FOR;
 /// One place in so many stays for a connection that has asked but once and is idle, whatever reuse pays: a client that
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,5 @@
 //! What a request asks of a peer, and what its client is answered: shared by fronts, core and peers.
 
-use crate::held::Held;
 use crate::peer::Streamed;
 use bytes::Bytes;
 use std::ops::Range;
@@ -20,8 +19,6 @@
     pub time_at: Range<usize>,
     /// The value of a write.
     pub value: Option<Bytes>,
-    /// The room that it takes.
-    pub held: Option<Held>,
 }
 
 impl Call {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,7 +4,7 @@
 
 use crate::call::{Answer, Call};
 use crate::figures::{self, Tally};
-use crate::held::Budget;
+use crate::held::{Budget, Held};
 use crate::order_file::OrderFile;
 use crate::peer::{self, Begun, Connection, Ended, Lines, Pools, Streamed, Try};
 use crate::setup::{Bounds, Config};
@@ -55,7 +55,9 @@
     /// How long its client will wait from now on.
     pub time_left: Duration,
     /// What is passed on.
-    pub call: Call,
+    pub call: Rc<Call>,
+    /// The room for its value, where the front has taken some.
+    pub held: Option<Held>,
 }
 
 enum Input {
@@ -168,6 +170,19 @@
         Some(Ticket { id, name, answer, inputs: self.inputs.clone(), claims, answered: false })
     }
 
+    /// Room for a value that must be held whole; `None` where there is none.
+    #[must_use]
+    pub fn hold(&self, bytes: usize) -> Option<Held> {
+        self.budget.hold(bytes)
+    }
+
+    /// Counts a request that its front refused for want of such room.
+    pub fn no_room(&self, class: ClassId) {
+        let mut tally = self.tally.borrow_mut();
+        tally.refuse(Reason::NoPlace);
+        tally.answered(class, &Answer::Refused(0));
+    }
+
     /// Tells the core what is heard of discovery.
     pub fn hear(&self, news: News) {
         let _ = self.inputs.send(Input::News(news));
@@ -260,6 +275,7 @@
 /// What the core holds of a request until it is answered and none of its tries is out.
 struct RequestContext {
     call: Rc<Call>,
+    _held: Option<Held>,
     class: ClassId,
     fragile: bool,
     deadline: Instant,
@@ -523,9 +539,9 @@
     fn arrived(&mut self, id: RequestId, mut incoming: Incoming, answer: oneshot::Sender<Answer>) {
         // Guards places for requests: no client may have one kept for minutes.
         incoming.time_left = incoming.time_left.min(self.bounds.longest);
-        if let Some(value) = incoming.call.value.as_ref().filter(|_| incoming.call.held.is_none()) {
-            incoming.call.held = self.handle.budget.hold(value.len());
-            if incoming.call.held.is_none() {
+        if let Some(value) = incoming.call.value.as_ref().filter(|_| incoming.held.is_none()) {
+            incoming.held = self.handle.budget.hold(value.len());
+            if incoming.held.is_none() {
                 // Guards memory: turned away before the module hears of it.
                 return refuse_unseen(&self.handle.tally, incoming.class, answer);
             }
@@ -539,7 +555,8 @@
             time_left_us: incoming.time_left.as_micros() as Micros,
         };
         let context = RequestContext {
-            call: Rc::new(incoming.call),
+            call: incoming.call,
+            _held: incoming.held,
             class: incoming.class,
             fragile: self.fragile.get(incoming.class.0 as usize).is_none_or(|fragile| *fragile),
             deadline: Instant::now() + incoming.time_left,
@@ -803,10 +820,17 @@
         for n in 0..1_000 {
             let word = Bytes::from(format!("{n:x}"));
             let (command, key, id, options) = (word.clone(), word.clone(), word.clone(), word.clone());
-            let call = Call { command, key, id, options, time_at: 0..0, value: None, held: None };
+            let call = Call { command, key, id, options, time_at: 0..0, value: None };
             let time_left = Duration::from_secs(60);
             let (class, tenant) = (ClassId(0), TenantId(0));
-            let ticket = handle.submit(Incoming { class, tenant, key: Some(Key(n)), time_left, call });
+            let ticket = handle.submit(Incoming {
+                class,
+                tenant,
+                key: Some(Key(n)),
+                time_left,
+                call: Rc::new(call),
+                held: None,
+            });
             let input = engine.inputs.recv().await.unwrap();
             engine.take(input);
             engine.settle();
--- a/crates/gateway/src/front/client.rs
+++ b/crates/gateway/src/front/client.rs
@@ -4,10 +4,11 @@
 use super::{Front, Winding};
 use crate::call::Answer;
 use crate::engine::Ticket;
+use crate::held::Held;
 use crate::peer::Streamed;
 use admission::{ConnectionId, Patience};
-use bytes::{BufMut, BytesMut};
-use proto::resp;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use proto::{ProtoError, resp};
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -23,6 +24,9 @@
 const MOST_GATHERED: usize = 256 * 1024;
 /// How long a client may take nothing of an answer.
 const WRITE_TIME: Duration = Duration::from_secs(5);
+/// How long a large value may take to come, from its length on; meanwhile it must go on coming. Bounds how long one client
+/// holds a part of the room for values.
+const LARGE_VALUE_TIME: Duration = Duration::from_secs(30);
 /// How long a client that was closed while idle is looked at for a command that crossed the close.
 const CROSSING: Duration = Duration::from_millis(20);
 /// How long a connection that ends with an error is read on, so that the error is not lost to a reset.
@@ -58,6 +62,12 @@
     /// How long a client may take over a command, from its first byte on, and over its first from connecting on.
     /// Guards places against clients that say nothing or half a command; a usual one takes milliseconds.
     patience: Duration,
+    /// When the value of a command under way must have come, once its length is known.
+    value_until: Option<Instant>,
+    /// The room for a large value under way.
+    room: Option<Held>,
+    /// Bytes still to come of a large value for which there was no room: read and thrown away.
+    skip: usize,
     door: Rc<Notify>,
     told: Told,
     opened: Instant,
@@ -116,6 +126,9 @@
             ending: false,
             awaited_since: Some(Instant::now()),
             patience: Duration::from_micros(patience.0),
+            value_until: None,
+            room: None,
+            skip: 0,
             door,
             told: Told::Awaits,
             opened: Instant::now(),
@@ -146,9 +159,10 @@
             if answered {
                 self.tell(if self.awaited_since.is_some() { Told::Awaits } else { Told::Idle });
             }
-            let idle = answered && self.input.is_empty();
+            let idle = answered && self.input.is_empty() && self.skip == 0;
             let may_read = !self.ending && self.replies.len() < MOST_WAITING;
-            let deadline = self.awaited_since.filter(|_| may_read).map(|since| since + self.patience);
+            let patience = self.awaited_since.filter(|_| may_read).map(|since| since + self.patience);
+            let deadline = patience.into_iter().chain(self.value_until.filter(|_| may_read)).min();
             let winding = *self.winding.borrow_and_update();
             let (opened, asked) = (self.opened, self.told != Told::Awaits);
             let closes = winding.filter(|_| idle).map(|it| it.closes(opened, asked, self.answered_at));
@@ -164,13 +178,13 @@
                     if read? == 0 {
                         return Ok(());
                     }
-                    self.parse();
+                    self.came();
                     false
                 }
                 () = self.door.notified(), if answered => self.front.places.borrow().is_closing(self.id),
                 Ok(()) = self.winding.changed() => false,
                 () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
-                    if !self.input.is_empty() {
+                    if !self.input.is_empty() || self.skip > 0 {
                         self.ending = true;
                         self.replies.push_back(line("-ERR the command did not end in time\r\n"));
                         continue;
@@ -224,26 +238,90 @@
         write(&mut self.stream, b"\r\n").await
     }
 
+    /// Something has been read.
+    fn came(&mut self) {
+        if self.value_until.is_some() {
+            self.awaited_since = Some(Instant::now()); // a value that goes on coming is waited for
+        }
+        if self.skip > 0 {
+            let skipped = self.skip.min(self.input.len());
+            self.input.advance(skipped);
+            self.skip -= skipped;
+            if self.skip == 0 {
+                (self.awaited_since, self.value_until) = (None, None);
+            }
+        }
+        self.parse();
+    }
+
+    /// Looks at a command that is not whole: one whose value is large needs room before it is read on. An answer, if the
+    /// command has come to its end by it.
+    fn unfinished(&mut self) -> Option<Reply> {
+        if self.input.is_empty() || self.room.is_some() || self.skip > 0 {
+            return None;
+        }
+        self.awaited_since.get_or_insert_with(Instant::now);
+        let unfinished = match resp::unfinished(&self.input) {
+            Ok(found) => found?,
+            Err(error) => return Some(self.malformed(error)),
+        };
+        let time = if unfinished.large { LARGE_VALUE_TIME } else { self.patience };
+        self.value_until.get_or_insert_with(|| Instant::now() + time);
+        if !unfinished.large {
+            return None;
+        }
+        let mut command = unfinished.words;
+        command.0.push(Bytes::new()); // in place of the value, so that it can be read
+        let Asked::Request(incoming) = request::read(&command, &self.front.names) else {
+            return Some(self.malformed(ProtoError::TooLong("command"))); // no other has a large word
+        };
+        let missing = unfinished.bytes.saturating_sub(self.input.len());
+        self.room = self.front.handle.hold(unfinished.bytes);
+        if self.room.is_some() {
+            self.input.reserve(missing);
+            return None;
+        }
+        self.front.handle.no_room(incoming.class);
+        self.input.clear();
+        self.skip = missing;
+        Some(line("-BUSY\r\n"))
+    }
+
+    fn malformed(&mut self, error: ProtoError) -> Reply {
+        if let Some(more) = self.front.malformed.line() {
+            log::info!("client {}: {error}{more}", self.id.0);
+        }
+        self.ending = true;
+        line(&format!("-ERR {error}\r\n"))
+    }
+
     /// Reads the commands that are whole, as far as there are places for their answers.
     fn parse(&mut self) {
         while !self.ending && self.replies.len() < MOST_WAITING {
-            let found = resp::next_command(&mut self.input);
-            if let Ok(Some(_)) = found {
-                self.awaited_since = None;
+            let found = match self.room {
+                Some(_) => resp::next_large_command(&mut self.input),
+                None => resp::next_command(&mut self.input),
+            };
+            let room = if let Ok(Some(_)) = found {
+                (self.awaited_since, self.value_until) = (None, None);
                 self.tell(Told::Busy);
-            }
+                self.room.take()
+            } else {
+                None
+            };
             let reply = match found {
-                Ok(None) => {
-                    if !self.input.is_empty() {
-                        self.awaited_since.get_or_insert_with(Instant::now);
-                    }
-                    return;
-                }
+                Ok(None) => match self.unfinished() {
+                    Some(reply) => reply,
+                    None => return,
+                },
                 Ok(Some(command)) => match request::read(&command, &self.front.names) {
-                    Asked::Request(incoming) => match self.front.handle.submit(incoming) {
-                        Some(ticket) => Reply::Later(ticket),
-                        None => line("-ERR a request with this id is open\r\n"),
-                    },
+                    Asked::Request(mut incoming) => {
+                        incoming.held = room;
+                        match self.front.handle.submit(incoming) {
+                            Some(ticket) => Reply::Later(ticket),
+                            None => line("-ERR a request with this id is open\r\n"),
+                        }
+                    }
                     // Any other answer than yes sends clients elsewhere.
                     Asked::Ping if self.front.drained() => line("-DRAINING\r\n"),
                     Asked::Ping if self.front.handle.ready() => line("+PONG\r\n"),
@@ -255,13 +333,7 @@
                     }
                     Asked::Refused(why) => line(&format!("-ERR {why}\r\n")),
                 },
-                Err(error) => {
-                    if let Some(more) = self.front.malformed.line() {
-                        log::info!("client {}: {error}{more}", self.id.0);
-                    }
-                    self.ending = true;
-                    line(&format!("-ERR {error}\r\n"))
-                }
+                Err(error) => self.malformed(error),
             };
             self.replies.push_back(reply);
         }
@@ -285,7 +357,7 @@
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => Ok(true),
             Ok(_) => {
-                self.parse();
+                self.came();
                 Ok(false)
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(true),
--- a/crates/gateway/src/front/request.rs
+++ b/crates/gateway/src/front/request.rs
@@ -5,6 +5,7 @@
 use crate::setup::Names;
 use decide::api::{ClassId, Key, TenantId};
 use proto::resp::Command;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The longest time that a request may name: ten minutes. No class waits that long.
@@ -85,14 +86,14 @@
         tenant,
         key: Some(Key(number)),
         time_left: Duration::from_secs_f64(ms / 1e3),
-        call: Call {
+        held: None,
+        call: Rc::new(Call {
             command: words[0].clone(),
             key: key.clone(),
             id: id.clone(),
             options: options.clone(),
             time_at,
             value: words.get(4).cloned(),
-            held: None,
-        },
+        }),
     })
 }
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -366,7 +366,9 @@
                     };
                     if !room {
                         if let Some(more) = lines.no_room.line() {
-                            log::warn!("peer {name}: no room to hold an answer without a stated length{more}");
+                            log::warn!(
+                                "peer {name}: no room to hold an answer without a stated length{more}"
+                            );
                         }
                         return Ok(Read::Whole(Outcome::Error.into(), false));
                     }
--- a/crates/gateway/src/peer/streamed.rs
+++ b/crates/gateway/src/peer/streamed.rs
@@ -30,7 +30,10 @@
         back: oneshot::Sender<Connection>,
     },
     /// It was held whole, since its length was not stated.
-    Memory { value: Bytes, _held: Held },
+    Memory {
+        value: Bytes,
+        _held: Held,
+    },
     Taken,
 }
 
--- a/crates/proto/src/http.rs
+++ b/crates/proto/src/http.rs
@@ -274,12 +274,14 @@
         while let Some(piece) = self.decoder.next(buffer)? {
             match piece {
                 Piece::Head(head) => self.head = Some(head),
-                Piece::Data(part) if self.first.is_empty() => self.first = part,
                 Piece::Data(part) => {
                     if self.first.len() + self.more.len() + part.len() > self.decoder.max_length {
                         return Err(ProtoError::TooLong("body"));
                     }
-                    self.more.put_slice(&part);
+                    match self.first.is_empty() {
+                        true => self.first = part,
+                        false => self.more.put_slice(&part),
+                    }
                 }
                 Piece::End => {
                     let first = std::mem::take(&mut self.first);
--- a/crates/proto/tests/parsers.rs
+++ b/crates/proto/tests/parsers.rs
@@ -69,6 +69,51 @@
         prop_assert_eq!(&found[..], &expected[..]);
     }
 
+    #[test]
+    fn large_answers_and_commands_survive_any_cut(
+        extra in 1..3_000_usize, cuts in prop::collection::vec(any::<usize>(), 0..12),
+    ) {
+        let value = vec![b'\n'; MAX_VALUE + extra];
+        let mut bytes = BytesMut::from("*3\r\n");
+        resp::put_bulk(&mut bytes, &value);
+        bytes.extend_from_slice(b"$3\r\nhit\r\n$-1\r\n-BUSY\r\n");
+        // As a connection does: the value is taken off as it comes, then its tail, then the next answer.
+        let (mut left, mut behind) = (0, None);
+        let found = fed(&bytes, &cuts, |buffer| {
+            let taken = left.min(buffer.len());
+            bytes::Buf::advance(buffer, taken);
+            left -= taken;
+            if left > 0 {
+                return Ok(None);
+            }
+            if let Some(tail) = behind {
+                return Ok(resp::next_tail(buffer, tail)?.map(|()| {
+                    behind = None;
+                    "tail"
+                }));
+            }
+            Ok(match resp::next_answer(buffer)? {
+                Some(Answer::Large { length, tail }) => {
+                    (left, behind) = (length, Some(tail));
+                    Some("large")
+                }
+                Some(Answer::Busy) => Some("busy"),
+                other => other.map(|_| "other"),
+            })
+        });
+        prop_assert_eq!(found.unwrap(), ["large", "tail", "busy"]);
+
+        let mut bytes = BytesMut::new();
+        resp::put_command(&mut bytes, &[b"CACHE.SET", &value]);
+        let (whole, head) = (bytes.len(), bytes.len() - value.len() - 2);
+        prop_assert_eq!(resp::unfinished(&bytes[..head - 1]).unwrap(), None);
+        for cut in cuts.iter().map(|cut| head + cut % (value.len() + 2)) {
+            let found = resp::unfinished(&bytes[..cut]).unwrap().unwrap();
+            prop_assert_eq!((found.words.0.len(), found.bytes, found.large), (1, whole, true));
+        }
+        prop_assert_eq!(fed(&bytes, &cuts, resp::next_large_command).unwrap().len(), 1);
+    }
+
     #[test]
     fn http_answers_survive_any_cut(
         parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..60), 0..5),
@@ -127,6 +172,12 @@
     let chunks = with(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1ffff\r\n");
     assert!(http(&chunks, &[]).is_err(), "chunks beyond the longest value");
     assert!(http(b"HTTP/1.1 200 OK\r\n\r\n", &[]).is_err(), "no stated end");
+    assert!(
+        http(&with(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"), &[]).is_err(),
+        "beyond the longest value"
+    );
+    assert!(fed(b"*1\r\n$4194305\r\n", &[], resp::next_answer).is_err(), "beyond the largest value");
+    assert!(resp::unfinished(b"*1\r\n$4194305\r\n").is_err());
     assert!(http(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", &[]).is_err());
     assert!(http(&b"HTTP/1.1 100 Continue\r\n\r\n".repeat(9), &[]).is_err(), "interim answers without end");
     let line = vec![b'x'; discovery::MAX_LIST + 1];
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -32,6 +32,10 @@
 }
 
 impl Asked {
+    /// A part of an answer; whoever is not there any more to take it misses it.
+    pub fn part(&mut self, bytes: &str) {
+        let _ = self.stream.write_all(bytes.as_bytes());
+    }
     pub fn answer(mut self, bytes: &str) {
         self.stream.write_all(bytes.as_bytes()).unwrap();
     }
@@ -86,6 +90,10 @@
     pub fn opened(&self) -> bool {
         self.opened.recv_timeout(PATIENCE).is_ok()
     }
+    /// Whether a further connection has come.
+    pub fn opened_more(&self) -> bool {
+        self.opened.try_recv().is_ok()
+    }
     /// Forgets the connections so far.
     pub fn forget_opened(&self) {
         self.opened.try_iter().for_each(drop);
@@ -339,6 +347,12 @@
     pub fn client(&self) -> Client {
         Client::connect(self.addr)
     }
+    /// The most memory that it has had, in KB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
     /// A yes of the door.
     pub fn order(&self, path: &str, host: &str) {
         let body = json!({"who": host}).to_string();
@@ -392,6 +406,22 @@
     pub fn raw(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).unwrap();
     }
+    pub fn inner(&mut self) -> &mut impl Read {
+        &mut self.0
+    }
+    /// A line.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        line.trim_end().to_owned()
+    }
+    /// The rest of a bulk string of so many bytes.
+    pub fn bulk(&mut self, length: usize) -> String {
+        let mut body = vec![0; length + 2];
+        self.0.read_exact(&mut body).unwrap();
+        assert_eq!(body.split_off(length), b"\r\n");
+        String::from_utf8(body).unwrap()
+    }
     /// A line of an answer, or a whole bulk string; empty when the connection has ended.
     pub fn answer(&mut self) -> String {
         let mut line = String::new();
@@ -399,9 +429,7 @@
             return String::new();
         }
         if let Some(len) = line.strip_prefix('$') {
-            let mut body = vec![0; len.trim().parse::<usize>().unwrap() + 2];
-            self.0.read_exact(&mut body).unwrap();
-            return String::from_utf8(body).unwrap().trim_end().to_owned();
+            return self.bulk(len.trim().parse().unwrap());
         }
         line.trim_end().to_owned()
     }
--- a/crates/spindlebeam/tests/serve.rs
+++ b/crates/spindlebeam/tests/serve.rs
@@ -373,10 +373,16 @@
         client.send(words);
         assert_eq!(client.answer(), error, "{words:?}");
     }
-    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"*1\r\n$70000\r\n", b"*-3\r\n", b"*1\r\n$-1\r\n"] {
+    for (bytes, error) in [
+        (&b"GET / HTTP/1.1\r\n\r\n"[..], "-ERR malformed command"),
+        (b"*1\r\n$70000\r\n", "-ERR command too long"),
+        (b"*1\r\n$60000000\r\n", "-ERR malformed command"),
+        (b"*-3\r\n", "-ERR malformed command"),
+        (b"*1\r\n$-1\r\n", "-ERR malformed command"),
+    ] {
         let mut client = p.balancer.client();
         client.raw(bytes);
-        assert_eq!(client.answer(), "-ERR malformed command", "{bytes:?}");
+        assert_eq!(client.answer(), error, "{bytes:?}");
         assert!(client.ended());
     }
     client.send(&["PING"]);
