--- a/crates/spindlebeam/src/main.rs
+++ b/crates/spindlebeam/src/main.rs
@@ -49,6 +49,14 @@
             let config = config::read(&configuration(file)?)?;
             let (classes, tenants) = (config.names.classes.len(), config.names.tenants.len());
             println!("{}: usable; {classes} classes, {tenants} tenants, {:?}", config.name, config.bounds);
+            match config.inherited {
+                Some(number) => println!("clients: the socket inherited as descriptor {number}"),
+                None => println!("clients: {}", config.listen),
+            }
+            match config.operator {
+                Some(addr) => println!("operators: {addr}"),
+                None => println!("operators: nowhere"),
+            }
         }
         Some(other) => bail!("unknown command {other:?}; try `spindlebeam help`"),
         None => bail!("no command; try `spindlebeam help`"),
