--- a/crates/gateway/src/order_file.rs
+++ b/crates/gateway/src/order_file.rs
@@ -67,3 +67,56 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use maintenance::{Maintenance, Order};
+
+    /// A folder of its own for each test, gone with it.
+    struct Folder(PathBuf);
+
+    impl Folder {
+        fn new(name: &str) -> Self {
+            let folder = std::env::temp_dir().join(format!("spindlebeam-{}-{name}", std::process::id()));
+            std::fs::create_dir(&folder).unwrap();
+            Self(folder)
+        }
+        fn file(&self) -> OrderFile {
+            OrderFile::new(self.0.join("orders.json"))
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+
+    #[test]
+    fn what_one_process_saves_is_news_to_the_other_once() {
+        let folder = Folder::new("shared");
+        let (mut one, mut other) = (folder.file(), folder.file());
+        assert_eq!(other.poll(), None, "there is no file as yet");
+        let mut maintenance = Maintenance::new(None, Orders::default());
+        maintenance.carry_out(1, &Order::Drain).unwrap();
+        one.save(maintenance.orders()).unwrap();
+        assert_eq!((one.poll(), other.poll().as_ref()), (None, Some(maintenance.orders())));
+        assert_eq!(other.poll(), None);
+        assert_eq!(std::fs::read_dir(&folder.0).unwrap().count(), 1, "nothing is left aside");
+    }
+
+    #[test]
+    fn a_file_that_cannot_be_read_is_put_aside_and_the_next_one_is_read() {
+        let folder = Folder::new("unreadable");
+        let mut file = folder.file();
+        for broken in [&b"{\"version\":1,\"out\":"[..], b"{\"version\":9}", b"\xff\xfe"] {
+            std::fs::write(file.path(), broken).unwrap();
+            assert_eq!(file.poll(), None);
+            assert!(!file.path().exists());
+            assert_eq!(std::fs::read(folder.0.join("orders.unreadable")).unwrap(), broken, "nothing is lost");
+        }
+        folder.file().save(&Orders::default()).unwrap();
+        assert_eq!(file.poll(), Some(Orders::default()));
+    }
+}
--- a/crates/spindlebeam/tests/operators.rs
+++ b/crates/spindlebeam/tests/operators.rs
@@ -216,3 +216,26 @@
         assert!(!out.status.success() && said.lines().count() == 1 && said.contains(why), "{said}");
     }
 }
+
+#[test]
+fn a_drain_goes_over_a_replacement_and_ends_at_either_door() {
+    let peer = Peer::start(false);
+    let discovery = Discovery::start(list(1, true, &[member("s-0", peer.addr, "ready")]));
+    let mut config = config(discovery.addr, 1024, Value::Null);
+    config["operator"] = "127.0.0.1:0".into();
+    let home = Home::new();
+    let old = Balancer::start_at(&home, &config);
+    old.logged("accepting from the inherited socket");
+    old.order("/drain", "");
+    old.order("/drain", "");
+    let new = Balancer::start_at(&home, &config);
+    new.logged("accepting from the inherited socket");
+    let (status, why) = call(new.door.unwrap(), "GET", "/ready", "");
+    assert!(status == 503 && why.contains("draining"), "{status} {why}");
+    old.order("/undrain", "");
+    new.logged("the drain has ended");
+    assert_eq!(call(new.door.unwrap(), "GET", "/ready", "").0, 200);
+    let mut client = home.client();
+    client.send(&["PING"]);
+    assert_eq!(client.answer(), "+PONG");
+}
--- a/crates/spindlebeam/tests/start.rs
+++ b/crates/spindlebeam/tests/start.rs
@@ -123,3 +123,36 @@
         assert!(config::parse(text(field, value, peers).as_bytes()).unwrap().siblings.is_none());
     }
 }
+
+#[test]
+fn the_door_and_the_inherited_socket_are_told_by_file_or_environment_and_bad_ones_by_their_names() {
+    let text = |operator: serde_json::Value| {
+        json!({
+            "name": "n3", "listen": "127.0.0.4:6379", "discovery": "127.0.0.5:8500", "seed": "1",
+            "operator": operator, "limits": {"memory_mb": 192, "sockets": 1024},
+            "settings": {"profiles": [{"name": "leer"}]},
+        })
+        .to_string()
+    };
+    let read = |operator: serde_json::Value, told: &[(&str, &str)]| {
+        let mut config = config::parse(text(operator).as_bytes())?;
+        let variable = |name: &str| told.iter().find(|it| it.0 == name).map(|it| it.1.to_owned());
+        config::told_by(variable, &mut config).map(|()| config)
+    };
+    let config = read(json!(null), &[]).unwrap();
+    assert_eq!((config.operator, config.inherited, config.folder), (None, None, None));
+    let clients = config.bounds.clients;
+    let config = read(json!("127.0.0.4:19000"), &[("PROXY_FD", "7"), ("TMPDIR", "/tmp")]).unwrap();
+    assert_eq!((config.operator, config.inherited), (Some("127.0.0.4:19000".parse().unwrap()), Some(7)));
+    assert!(config.bounds.clients < clients, "descriptors are kept back for the door");
+    let config = read(json!("127.0.0.4:19000"), &[("PROXY_OPERATOR", "127.0.0.4:19001")]).unwrap();
+    assert_eq!(config.operator, Some("127.0.0.4:19001".parse().unwrap()), "what this process is told itself");
+    for (operator, told, wanted) in [
+        (json!("here"), &[][..], "operator: \"here\""),
+        (json!(null), &[("PROXY_OPERATOR", "19000")], "PROXY_OPERATOR: \"19000\""),
+        (json!(null), &[("PROXY_FD", "seven")], "PROXY_FD: \"seven\""),
+    ] {
+        let error = format!("{:#}", read(operator, told).err().expect("it cannot be used"));
+        assert!(error.contains(wanted), "{error}");
+    }
+}
