--- a/crates/spindlebeam/tests/start.rs
+++ b/crates/spindlebeam/tests/start.rs
@@ -152,7 +152,7 @@
         (json!(null), &[("PROXY_OPERATOR", "19000")], "PROXY_OPERATOR: \"19000\""),
         (json!(null), &[("PROXY_FD", "seven")], "PROXY_FD: \"seven\""),
     ] {
-        let error = format!("{:#}", read(operator, told).err().expect("it cannot be used"));
+        let error = format!("{:#}", read(operator, told).expect_err("it cannot be used"));
         assert!(error.contains(wanted), "{error}");
     }
 }
