--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,7 +6,7 @@
 use crate::figures::{self, Tally};
 use crate::held::{Budget, Held};
 use crate::order_file::OrderFile;
-use crate::peer::{self, Begun, Connection, Ended, Lines, Pools, Streamed, Try};
+use crate::peer::{self, Connection, Ended, Lines, Pools, Streamed, Try};
 use crate::setup::{Bounds, Config};
 use crate::siblings::Talk;
 use crate::upstream_group::{News, Peer, UpstreamGroup, server_id};
@@ -759,14 +759,14 @@
         let lines = self.lines.clone();
         let (dial, fragile) = (self.bounds.dial, context.fragile);
         let tally = self.handle.tally.clone();
-        let (budget, begins) = (self.handle.budget.clone(), self.handle.inputs.clone());
-        let begun = Begun(Box::new(move |streamed| {
-            let _ = begins.send(Input::Begun { id, attempt, sent, streamed });
-        }));
-        let this = Try { peer: peer.clone(), call, line, dial, until, fragile, lines, budget, begun, tally };
+        let budget = self.handle.budget.clone();
+        let this = Try { peer: peer.clone(), call, line, dial, until, fragile, lines, budget, tally };
         let inputs = self.handle.inputs.clone();
         tokio::task::spawn_local(async move {
-            let ended = this.run(cancelled).await;
+            let begun = |streamed| {
+                let _ = inputs.send(Input::Begun { id, attempt, sent, streamed });
+            };
+            let ended = this.run(cancelled, begun).await;
             let _ = inputs.send(Input::TryEnded { id, attempt, peer, sent, ended });
         });
     }
--- a/crates/gateway/src/front/client.rs
+++ b/crates/gateway/src/front/client.rs
@@ -1,7 +1,7 @@
 //! One client connection: commands in, answers out in the order of the commands.
 
+use super::Front;
 use super::request::{self, Asked};
-use super::{Front, Winding};
 use crate::call::Answer;
 use crate::engine::Ticket;
 use crate::held::Held;
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Commands of one connection that may wait for their answers; beyond it nothing is read.
@@ -73,7 +73,6 @@
     opened: Instant,
     /// When the last request was answered, if any was.
     answered_at: Option<Instant>,
-    winding: watch::Receiver<Option<Winding>>,
 }
 
 fn line(text: &str) -> Reply {
@@ -116,7 +115,6 @@
     pub fn new(
         front: Rc<Front>, stream: TcpStream, id: ConnectionId, door: Rc<Notify>, patience: Patience,
     ) -> Self {
-        let winding = front.winding.subscribe();
         Self {
             front,
             stream,
@@ -133,7 +131,6 @@
             told: Told::Awaits,
             opened: Instant::now(),
             answered_at: None,
-            winding,
         }
     }
 
@@ -163,7 +160,7 @@
             let may_read = !self.ending && self.replies.len() < MOST_WAITING;
             let patience = self.awaited_since.filter(|_| may_read).map(|since| since + self.patience);
             let deadline = patience.into_iter().chain(self.value_until.filter(|_| may_read)).min();
-            let winding = *self.winding.borrow_and_update();
+            let winding = self.front.winding.get();
             let (opened, asked) = (self.opened, self.told != Told::Awaits);
             let closes = winding.filter(|_| idle).map(|it| it.closes(opened, asked, self.answered_at));
             let deadline = deadline.into_iter().chain(closes).min();
@@ -171,7 +168,7 @@
                 biased;
                 answer = next_answer(&mut self.replies) => {
                     self.replies[0] = worded(answer);
-                    self.answered_at = winding.map(|_| Instant::now());
+                    self.answered_at = self.front.winding.get().map(|_| Instant::now());
                     false
                 }
                 read = self.stream.read_buf(&mut self.input), if may_read => {
@@ -182,7 +179,7 @@
                     false
                 }
                 () = self.door.notified(), if answered => self.front.places.borrow().is_closing(self.id),
-                Ok(()) = self.winding.changed() => false,
+                () = self.front.winds.notified(), if idle => false,
                 () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
                     if !self.input.is_empty() || self.skip > 0 {
                         self.ending = true;
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -9,14 +9,14 @@
 use crate::setup::Names;
 use admission::{ConnectionId, Micros, Places};
 use rustc_hash::FxHashMap;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, interval, sleep, timeout};
 
 /// The wait after a failed accept, when descriptors may have run out.
@@ -47,7 +47,9 @@
     failed: Seldom,
     freed: Notify,
     /// Set while connections are to close.
-    winding: watch::Sender<Option<Winding>>,
+    winding: Cell<Option<Winding>>,
+    /// Wakes those who wait for that to change.
+    winds: Notify,
 }
 
 /// Why client connections are to close, and how fast.
@@ -87,7 +89,8 @@
             full: Seldom::default(),
             failed: Seldom::default(),
             freed: Notify::new(),
-            winding: watch::Sender::new(None),
+            winding: Cell::default(),
+            winds: Notify::new(),
         })
     }
 
@@ -190,7 +193,8 @@
 
     /// Has every connection closed, those that ask nothing after `idle`. For good: a drain that ends changes nothing.
     pub fn wind_down(&self, idle: Duration) {
-        self.winding.send_replace(Some(Winding { ending: true, since: Instant::now(), idle }));
+        self.winding.set(Some(Winding { ending: true, since: Instant::now(), idle }));
+        self.winds.notify_waiters();
     }
 
     /// Has connections closed while the balancer is being drained, for as long as the program runs.
@@ -198,15 +202,12 @@
         let mut draining = self.handle.draining();
         loop {
             let drained = *draining.borrow_and_update();
-            let since = Instant::now();
-            let drain = drained.then_some(Winding { ending: false, since, idle: DRAIN_IDLE });
-            self.winding.send_if_modified(|it| {
-                let follows = it.is_none_or(|winding| !winding.ending) && it.is_some() != drained;
-                if follows {
-                    *it = drain;
-                }
-                follows
-            });
+            let before = self.winding.get();
+            if before.is_none_or(|winding| !winding.ending) && before.is_some() != drained {
+                let since = Instant::now();
+                self.winding.set(drained.then_some(Winding { ending: false, since, idle: DRAIN_IDLE }));
+                self.winds.notify_waiters();
+            }
             if draining.changed().await.is_err() {
                 return; // the core is gone
             }
@@ -215,13 +216,13 @@
 
     /// Whether the balancer is being drained; one that ends is asked by nobody who has heard of it.
     fn drained(&self) -> bool {
-        self.winding.borrow().is_some_and(|it| !it.ending)
+        self.winding.get().is_some_and(|it| !it.ending)
     }
 
     /// Why no client should come here now, if so.
     #[must_use]
     pub fn winding(&self) -> Option<&'static str> {
-        self.winding.borrow().map(|it| if it.ending { "this process is ending" } else { "draining" })
+        self.winding.get().map(|it| if it.ending { "this process is ending" } else { "draining" })
     }
 
     /// Waits until no client connection is open.
--- a/crates/gateway/src/peer/exchange.rs
+++ b/crates/gateway/src/peer/exchange.rs
@@ -11,7 +11,6 @@
 use proto::http::{self, Decoder, Piece};
 use proto::{LARGEST_VALUE, MAX_VALUE, ProtoError, resp};
 use std::cell::{Cell, RefCell};
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -38,8 +37,6 @@
     pub lines: Rc<Lines>,
     /// The room for answers that must be held whole though they are large.
     pub budget: Budget,
-    /// Is handed a large answer whose value follows: the try has served from then on, and ends when that has come.
-    pub begun: Begun,
     /// Where it is counted once it is written whole.
     pub tally: Rc<RefCell<Tally>>,
 }
@@ -88,15 +85,6 @@
 /// How long what follows a large value may take: the client does not wait for it, the connection does.
 const TAIL_TIME: Duration = Duration::from_millis(500);
 
-/// Takes a large answer that has begun.
-pub struct Begun(pub Box<dyn FnOnce(Box<Streamed>)>);
-
-impl fmt::Debug for Begun {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Begun")
-    }
-}
-
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
         let (value, large) = Default::default();
@@ -105,10 +93,11 @@
 }
 
 impl Try {
-    /// Runs the try. When it returns without its connection, that is already closed: nothing of it is out.
-    pub async fn run(self, cancelled: oneshot::Receiver<()>) -> Ended {
+    /// Runs the try. When it returns without its connection, that is already closed: nothing of it is out. `begun` is handed a
+    /// large answer whose value follows: the try has served from then on, and ends when that has come.
+    pub async fn run(self, cancelled: oneshot::Receiver<()>, begun: impl FnOnce(Box<Streamed>)) -> Ended {
         let (until, stage) = (self.until, Cell::new(Stage::Opening));
-        let exchange = self.exchange(&stage);
+        let exchange = self.exchange(&stage, begun);
         tokio::pin!(exchange);
         let given_up = tokio::select! {
             biased;
@@ -128,7 +117,7 @@
         }
     }
 
-    async fn exchange(self, stage: &Cell<Stage>) -> Ended {
+    async fn exchange(self, stage: &Cell<Stage>, begun: impl FnOnce(Box<Streamed>)) -> Ended {
         let reused = matches!(self.line, Line::Open(_));
         let mut connection = match open(self.line, &self.peer, self.dial, &self.lines).await {
             Ok(connection) => connection,
@@ -169,7 +158,7 @@
             Ok(Read::Large { length, keep, tail }) => {
                 let (streamed, back) = Streamed::of_peer(length, connection);
                 stage.set(Stage::Begun);
-                (self.begun.0)(Box::new(streamed));
+                begun(Box::new(streamed));
                 // One that does not come back broke off in the value, or its client did.
                 let Ok(connection) = back.await else { return Outcome::Reset.into() };
                 let connection = if keep { read_tail(connection, tail).await } else { None };
--- a/crates/gateway/src/peer/mod.rs
+++ b/crates/gateway/src/peer/mod.rs
@@ -7,7 +7,7 @@
 use crate::upstream_group::Peer;
 use bytes::BytesMut;
 use decide::api::ServerId;
-pub use exchange::{Begun, Ended, Lines, Try, dial};
+pub use exchange::{Ended, Lines, Try, dial};
 use rustc_hash::FxHashMap;
 use socket2::SockRef;
 use std::cell::Cell;
--- a/crates/gateway/tests/tries.rs
+++ b/crates/gateway/tests/tries.rs
@@ -4,7 +4,7 @@
 use decide::api::Outcome;
 use gateway::call::Call;
 use gateway::held::Budget;
-use gateway::peer::{Begun, Line, Pools, Try};
+use gateway::peer::{Line, Pools, Try};
 use gateway::setup::{Bounds, Names};
 use gateway::upstream_group::{Peer, UpstreamGroup, server_id};
 use proto::discovery::{List, Member, Phase};
@@ -71,10 +71,9 @@
         fragile: false,
         lines,
         budget: Budget::new(0),
-        begun: Begun(Box::new(|_| ())),
         tally: Rc::default(),
     }
-    .run(cancelled)
+    .run(cancelled, |_| ())
     .await
     .outcome
 }
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -254,9 +254,7 @@
 
 /// Starts the program with a configuration of its own.
 pub fn spawn(config: &str, descriptors: u32) -> (Child, PathBuf) {
-    let home = Home { folder: place(), socket: None, number: "" };
-    std::fs::create_dir(&home.folder).unwrap();
-    home.spawn(config, descriptors)
+    Home::alone().spawn(config, descriptors)
 }
 
 /// What the processes of one balancer share: their folder, and the clients' socket if the platform holds it.
@@ -265,13 +263,23 @@
     pub socket: Option<TcpListener>,
     /// The descriptor that the program is told of.
     pub number: &'static str,
+    pub program: String,
 }
 
 impl Home {
     /// With a clients' socket that the platform holds.
     pub fn new() -> Self {
         let socket = Some(TcpListener::bind("127.0.0.1:0").unwrap());
-        let home = Home { folder: place(), socket, number: "7" };
+        Home { socket, number: "7", ..Self::alone() }
+    }
+    /// Of a process that binds its own socket.
+    pub fn alone() -> Self {
+        let home = Home {
+            folder: place(),
+            socket: None,
+            number: "",
+            program: env!("CARGO_BIN_EXE_spindlebeam").into(),
+        };
         std::fs::create_dir(&home.folder).unwrap();
         home
     }
@@ -288,7 +296,7 @@
                 "-c",
                 &format!("ulimit -S -n {descriptors} && {inherited}exec \"$0\" serve --config \"$1\""),
             ])
-            .args([env!("CARGO_BIN_EXE_spindlebeam"), file.to_str().unwrap()])
+            .args([&self.program[..], file.to_str().unwrap()])
             .env("RUST_LOG", "info")
             .env("TMPDIR", &self.folder)
             .stderr(Stdio::piped());
@@ -301,8 +309,7 @@
 
 impl Balancer {
     pub fn start(config: &Value, descriptors: u32) -> Self {
-        let home = Home { folder: place(), socket: None, number: "" };
-        std::fs::create_dir(&home.folder).unwrap();
+        let home = Home::alone();
         Self::of(&home, home.spawn(&config.to_string(), descriptors), config)
     }
     /// A process of a balancer that others are of as well.
@@ -353,6 +360,11 @@
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
+    /// Processor time that its thread has had.
+    pub fn processor_us(&self) -> u64 {
+        let times = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id())).unwrap();
+        times.split(' ').next().unwrap().parse::<u64>().unwrap() / 1_000
+    }
     /// A yes of the door.
     pub fn order(&self, path: &str, host: &str) {
         let body = json!({"who": host}).to_string();
