Read a body up to its connection's end only where the answer says that it ends there

Found by reading: HTTP/1.0 alone, without a length and without Connection: close, was taken for a body up to the end, and noise behind such a head for a value. A test holds it.

--- a/crates/proto/src/http.rs
+++ b/crates/proto/src/http.rs
@@ -101,7 +101,7 @@
     let headers: Vec<_> = repeat(0..64, header).parse_next(input)?;
     crlf.void().parse_next(input)?;
     let mut found = Head { status, declined: false, keep: version == b'1', body: Body::Length(0) };
-    let mut length = None;
+    let (mut length, mut ends) = (None, false);
     for (name, value) in headers {
         if name.eq_ignore_ascii_case(b"content-length") {
             let text = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
@@ -116,11 +116,12 @@
             }
             found.body = Body::Chunked;
         } else if name.eq_ignore_ascii_case(b"connection") {
-            found.keep = found.keep && !value.eq_ignore_ascii_case(b"close");
+            ends |= value.eq_ignore_ascii_case(b"close");
         } else if name.eq_ignore_ascii_case(b"srv-declined") {
             found.declined = value == b"1";
         }
     }
+    found.keep &= !ends;
     // Guards good answers that come behind interim ones (1xx): those state no length, since they have no body.
     let bodiless = status < 200 || status == 204 || status == 304;
     if bodiless {
@@ -128,8 +129,8 @@
     } else if found.body != Body::Chunked {
         found.body = match length {
             Some(length) => Body::Length(length),
-            // It ends with its connection, which says so.
-            None if !found.keep => Body::UntilEnd,
+            // It ends with its connection, and says so. The age of its version alone does not.
+            None if ends => Body::UntilEnd,
             // Any other without a stated end cannot be told from a broken one.
             None => return Err(ErrMode::Cut(ContextError::new())),
         };
--- a/crates/proto/tests/parsers.rs
+++ b/crates/proto/tests/parsers.rs
@@ -172,6 +172,7 @@
     let chunks = with(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1ffff\r\n");
     assert!(http(&chunks, &[]).is_err(), "chunks beyond the longest value");
     assert!(http(b"HTTP/1.1 200 OK\r\n\r\n", &[]).is_err(), "no stated end");
+    assert!(http(b"HTTP/1.0 200 OK\r\n\r\nnoise", &[]).is_err(), "nor one by its version");
     assert!(
         http(&with(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"), &[]).is_err(),
         "beyond the longest value"
