--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -108,7 +108,8 @@
 
 /// The next request at any of these, and at which.
 pub fn next_asked(peers: &[Peer]) -> (usize, Asked) {
-    loop {
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
         let heard = peers.iter().map(|p| p.seen.try_recv()).enumerate();
         let mut asked = heard.filter_map(|(i, seen)| match seen {
             Ok(Seen::Asked(asked)) => Some((i, asked)),
@@ -119,6 +120,7 @@
         }
         thread::yield_now();
     }
+    panic!("none of the peers hears of anything");
 }
 
 fn attend(mut stream: TcpStream, http: bool, sender: &Sender<Seen>) {
