--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -178,9 +178,7 @@
 
     /// Counts a request that its front refused for want of such room.
     pub fn no_room(&self, class: ClassId) {
-        let mut tally = self.tally.borrow_mut();
-        tally.refuse(Reason::NoPlace);
-        tally.answered(class, &Answer::Refused(0));
+        count_unseen(&self.tally, class);
     }
 
     /// Tells the core what is heard of discovery.
@@ -266,10 +264,14 @@
 
 /// Refuses a request that the module has not heard of, for want of a place.
 fn refuse_unseen(tally: &RefCell<Tally>, class: ClassId, answer: oneshot::Sender<Answer>) {
-    let refused = Answer::Refused(0);
-    tally.borrow_mut().refuse(Reason::NoPlace);
-    tally.borrow_mut().answered(class, &refused);
-    let _ = answer.send(refused);
+    count_unseen(tally, class);
+    let _ = answer.send(Answer::Refused(0));
+}
+
+fn count_unseen(tally: &RefCell<Tally>, class: ClassId) {
+    let mut tally = tally.borrow_mut();
+    tally.refuse(Reason::NoPlace);
+    tally.answered(class, &Answer::Refused(0));
 }
 
 /// What the core holds of a request until it is answered and none of its tries is out.
