--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -615,6 +615,8 @@
             self.answer(id, ended.large.map_or(Answer::Served(ended.value), Answer::Streamed));
         }
         let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
+        let took_us = sent.elapsed().as_micros();
+        log::debug!("request {}: try {attempt} at {}: {:?} in {took_us} us", id.0, peer.name, ended.outcome);
         self.events.push_back(Event::Outcome {
             id,
             attempt,
@@ -693,11 +695,13 @@
             Action::Send { id, server, timeout_us } => self.send(id, server, timeout_us),
             Action::Refuse { id, hold_off_us, reason } => {
                 self.handle.tally.borrow_mut().refuse(reason);
+                log::debug!("request {}: refused ({}), hold off {hold_off_us} us", id.0, reason.word());
                 self.answer(id, Answer::Refused(hold_off_us.div_ceil(1_000)));
                 self.forget(id);
             }
             Action::Fail { id, reason } => {
                 self.handle.tally.borrow_mut().fail(reason);
+                log::debug!("request {}: failed ({})", id.0, reason.word());
                 self.answer(id, Answer::Failed);
                 self.forget(id);
             }
