Send a read that no cache host may take before any try to the origin, as after a miss

Such reads were refused no-server with -BUSY 0 while the origin had room; now they take a permit of the limiter on origin fetches (held for their time, or refused no-permit), one fetch a key. Repeats after a try are refused as before.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -420,7 +420,9 @@
         let row = self.row(key, false);
         let slot = self.pick(key, &row, &tried);
         if !slot.is_some_and(|slot| self.send(id, slot, false)) {
-            self.give_up(id, Reason::NoServer);
+            // No cache may take a read that has had no try: an origin asked directly may, within its permits.
+            let fetch = tried.is_empty() && self.fleet.origin.is_some();
+            if fetch { self.fetch(id) } else { self.give_up(id, Reason::NoServer) }
         }
     }
 
--- a/crates/decide/tests/requests.rs
+++ b/crates/decide/tests/requests.rs
@@ -396,6 +396,7 @@
         })
     };
     let mut rig = Rig::new(settings(), 1, 0);
+    rig.list(ListKind::Delta, vec![ServerEntry { presence: Presence::Gone, ..server(ORIGIN) }]);
     assert_eq!(why(rig.ask(request(1, 0, 7))), Some("no-server"));
     let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() }, 1, 3);
     rig.ask(request(1, 0, 7));
