Count only hosts listed as ready among those that faults have taken out

Hosts taken out once kept counting against FAULT_PART after they drained or went, so a host that answered errors to 80% of reads stayed in use. A test fails without the change (the failing host stays among those used).

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -668,7 +668,7 @@
             return;
         }
         // When many look bad, the origin or the network is: only proof of unreachability takes out more.
-        let out = (0..).zip(&self.fleet.servers).filter(|(n, s)| *n != slot && s.out_until > 0).count();
+        let out = (0..).zip(&self.fleet.servers).filter(|(n, s)| *n != slot && s.out_of_use()).count();
         let part = if silent { EJECT_PART } else { FAULT_PART };
         if unreachable || (out as f64) < f64::from(self.fleet.ready) * part {
             let server = &mut self.fleet.servers[slot as usize];
--- a/crates/decide/src/records.rs
+++ b/crates/decide/src/records.rs
@@ -66,6 +66,10 @@
 }
 
 impl Server {
+    /// Listed as ready and taken out of use by its faults: one that drains or is gone is out of use anyhow.
+    pub(crate) fn out_of_use(&self) -> bool {
+        self.out_until > 0 && self.entry.presence == Presence::Ready
+    }
     /// Books attempts that begin or end there.
     pub(crate) fn board(&mut self, now: Micros, change: i32) {
         let (since, sum) = self.held;
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -204,14 +204,33 @@
 /// The servers in use after `outcome` came back from each of `bad` a few times.
 fn after_failures(bad: std::ops::RangeInclusive<u64>, outcome: Outcome) -> (Rig, BTreeSet<u64>) {
     let mut rig = Rig::new(settings(), 1, 9);
-    for id in 0..400 {
+    fail(&mut rig, 0..400, &bad, outcome);
+    let used = homes(&mut rig, 1_000..1_400, 1_000).into_values().collect();
+    (rig, used)
+}
+
+/// Reads of keys `ids`: those at `bad` end with `outcome`, the others are served.
+fn fail(rig: &mut Rig, ids: std::ops::Range<u64>, bad: &std::ops::RangeInclusive<u64>, outcome: Outcome) {
+    for id in ids {
         let Some(to) = rig.sent_to(request(id, 0, id)) else { continue };
         rig.end(id, 0, if bad.contains(&to) { outcome } else { Outcome::Ok });
         rig.feed(Event::Expired(RequestId(id)));
         (1..6).for_each(|n| assert!(sends(&rig.end(id, n, Outcome::Cancelled)).is_empty())); // repeats still out
     }
-    let used = homes(&mut rig, 1_000..1_400, 1_000).into_values().collect();
-    (rig, used)
+}
+
+#[test]
+fn hosts_that_drain_do_not_count_among_those_that_faults_took_out() {
+    let mut rig = Rig::new(settings(), 1, 10);
+    fail(&mut rig, 0..400, &(1..=2), Outcome::ConnectFailed);
+    // Taken out as unreachable, then out by hand: listed as draining from now on, out of use anyhow.
+    rig.list(
+        ListKind::Delta,
+        [1, 2].map(|id| ServerEntry { presence: Presence::Draining, ..server(id) }).to_vec(),
+    );
+    fail(&mut rig, 400..800, &(3..=3), Outcome::Error);
+    let used: BTreeSet<u64> = homes(&mut rig, 1_000..1_400, 1_000).into_values().collect();
+    assert!(!used.contains(&3) && used.len() == 7, "a host that answers errors is taken out: {used:?}");
 }
 
 #[test]
