Take a try's time once, for its event and its debug line alike

The debug line of each try took the clock a second time on every try, whatever the level; now both use one reading. No change of behaviour; the tests of the gateway pass.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -615,13 +615,13 @@
             self.answer(id, ended.large.map_or(Answer::Served(ended.value), Answer::Streamed));
         }
         let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
-        let took_us = sent.elapsed().as_micros();
-        log::debug!("request {}: try {attempt} at {}: {:?} in {took_us} us", id.0, peer.name, ended.outcome);
+        let latency_us = sent.elapsed().as_micros() as Micros;
+        log::debug!("request {}: try {attempt} at {}: {:?} in {latency_us} us", id.0, peer.name, ended.outcome);
         self.events.push_back(Event::Outcome {
             id,
             attempt,
             outcome: ended.outcome,
-            latency_us: sent.elapsed().as_micros() as Micros,
+            latency_us,
             finished,
             fetch_pending: ended.pending,
             stale: ended.stale,
