--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -616,7 +616,12 @@
         }
         let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
         let latency_us = sent.elapsed().as_micros() as Micros;
-        log::debug!("request {}: try {attempt} at {}: {:?} in {latency_us} us", id.0, peer.name, ended.outcome);
+        log::debug!(
+            "request {}: try {attempt} at {}: {:?} in {latency_us} us",
+            id.0,
+            peer.name,
+            ended.outcome
+        );
         self.events.push_back(Event::Outcome {
             id,
             attempt,
