Take a cache host out of use that answers far slower than the fleet

Change: an answer that took three times the fleet's median counts as a fault, as long as three times the median is within the shortest aim of what is safe to repeat: under overload all are slow and none is to blame. The median is a record of its own (`Pace`), moved by 2% with each answer.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -284,6 +284,12 @@
     pub fn proves_never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss)
     }
+
+    /// Whether its server has said or done something: neither silence nor our own doing.
+    #[must_use]
+    pub fn is_answer(self) -> bool {
+        !matches!(self, Outcome::Moot | Outcome::Cancelled | Outcome::Timeout | Outcome::ConnectFailed)
+    }
 }
 
 /// Why a request was refused or failed: one for each final answer that does not serve.
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -1,5 +1,4 @@
 //! All decisions. The types, events and actions are in `api.rs`.
-//!
 //! Ordinary path: a read goes to its key's table server; after a miss its fetch passes the warm-up limiter.
 
 use crate::api::*;
@@ -35,6 +34,7 @@
 const FAULT_SHARE: f64 = 0.4; // and that of resets and bad answers: one that serves most is worth keeping
 const EJECT_US: Micros = 1_000_000; // for this long at first; doubles with each failed trial, thrice at most
 const FAULTY: f64 = 0.2; // smoothed share of resets and bad answers from which repeats shun a server
+const SLOW: f64 = 3.0; // an answer that took this many times the fleet's median, itself quick, is a fault
 const FAULT_PART: f64 = 0.2; // at most this part of the fleet at a time for faults: the rest bears its load
 const EJECT_PART: f64 = 0.34; // without proof of unreachability, at most this part of the fleet at a time
 const HEDGE_PART: f64 = 0.5; // a read unanswered for this part of its aim gets a second copy or another try
@@ -147,6 +147,7 @@
     flights: FxHashMap<Key, Vec<RequestId>>,
     rate: OriginRate,
     limiter: WarmUpLimiter,
+    pace: Pace,
     inflight: u32, // reads at cache servers
     reads: f64,
     answers: Lately,
@@ -180,9 +181,7 @@
     /// Takes one event and appends what to do.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
-        if self.fleet.next_ramp.is_some_and(|at| now >= at) {
-            self.fleet.reweigh(self.now, &self.settings);
-        }
+        self.fleet.ramp(now, &self.settings);
         match event {
             Event::Servers(kind, entries) => self.list_changed(kind, &entries),
             Event::Request(req) => self.accept(req),
@@ -223,7 +222,8 @@
             let start = START_PER_SERVER * f64::from(self.fleet.ready) / f64::from(self.settings.siblings);
             let safe =
                 self.settings.classes.iter().filter(|c| c.effect == Effect::Retryable).map(|c| c.aim_us);
-            let least = START_HELD * 1e6 / safe.min().unwrap_or(1_000_000).max(1) as f64;
+            self.pace = Pace::new(safe.min().unwrap_or(1_000_000).max(1) as f64);
+            let least = START_HELD * 1e6 / self.pace.aim_us;
             (self.rate.start, self.rate.per_s) = (start.max(least), start.max(least));
             self.limiter = WarmUpLimiter::new(self.rate.per_s, self.now);
         }
@@ -233,10 +233,7 @@
     fn rank(&self, key: Key, allow: impl Fn(u32) -> bool) -> Row {
         let mut best = [(f64::MAX, 0); RANKS];
         let mut len = 0;
-        for (slot, server) in (0..).zip(&self.fleet.servers) {
-            if server.entry.presence != Presence::Ready || server.is_origin || !allow(slot) {
-                continue;
-            }
+        for (slot, server) in (0..).zip(&self.fleet.servers).filter(|(n, s)| s.caches() && allow(*n)) {
             let unit = (mix(key.0 ^ mix(server.entry.id.0)) >> 11) as f64 / (1_u64 << 53) as f64;
             let mut item = (-unit.max(1e-18).ln() / (server.weight * server.warmth * server.part), slot);
             if self.local_first && server.entry.zone != self.settings.zone {
@@ -298,8 +295,7 @@
         let (asked, all) = (row.asked.sum(self.now, KEY_SPAN_US), self.lately.sum(self.now, KEY_SPAN_US));
         let parts = asked / all * f64::from(self.fleet.ready) / HOT_PART;
         let enough = (HOT_COUNT.1 / f64::from(self.settings.siblings)).clamp(HOT_COUNT.0, HOT_COUNT.2);
-        let spread = if asked >= enough { 1 + parts as usize } else { 1 };
-        let hot = spread.min(ranks.len());
+        let hot = if asked >= enough { ranks.len().min(1 + parts as usize) } else { 1.min(ranks.len()) };
         ranks[..hot].rotate_left(self.rng.usize(..hot.max(1)));
         let tried_at = |slot: u32| tried.iter().any(|a| a.slot == slot && !a.stale);
         ranks.retain(|&slot| self.fleet.usable(slot, self.now) && !tried_at(slot));
@@ -395,11 +391,10 @@
         }
         let Some(open) = self.open.get_mut(&id) else { return false };
         let patience = (open.aim.saturating_sub(now) as f64 * HEDGE_PART) as Micros;
-        let impatient =
-            !to_origin && open.left(&self.settings) >= 2 && patience > 0 && open.effect == Effect::Retryable;
+        let (settings, safe) = (&self.settings, open.effect == Effect::Retryable);
+        let impatient = !to_origin && open.left(settings) >= 2 && patience > 0 && safe;
         // Where a try cannot be cancelled later, it is now that it is cut short.
-        let cut_short =
-            impatient && !self.settings.second_copies && !self.settings.cancel && self.cuts >= 1.0;
+        let cut_short = impatient && !settings.second_copies && !settings.cancel && self.cuts >= 1.0;
         self.cuts -= f64::from(u8::from(cut_short));
         open.attempts.push(Attempt { cut_short, ..Attempt::new(slot, now, to_origin, &entry) });
         (open.phase, open.due) = (Phase::Sent, if impatient { now + patience } else { Micros::MAX });
@@ -466,8 +461,7 @@
         if !mem::take(&mut open.leads) {
             return;
         }
-        let stored = open.attempts.iter().any(|a| a.to_origin && a.outcome == Some(Outcome::Ok));
-        let home = open.home().filter(|_| stored);
+        let home = open.home().filter(|_| open.stored());
         for id in self.flights.remove(&open.key).unwrap_or_default() {
             if self.open.get(&id).is_some_and(|o| o.phase == Phase::Waiting) {
                 self.read_again(id, home);
@@ -551,10 +545,10 @@
             _ => None,
         };
         let Some(budget) = budget.filter(|budget| **budget >= 1.0) else {
-            let again = left / 2 > self.settings.tick_us;
-            return if again {
-                self.hold(id, Phase::Sent, now + left / 2)
-            };
+            if left / 2 > self.settings.tick_us {
+                self.hold(id, Phase::Sent, now + left / 2);
+            }
+            return;
         };
         // Guards a try that is cut short against an empty budget at its end: its repeat is set aside with it.
         *budget -= 1.0;
@@ -579,8 +573,7 @@
         let back = if outcome == Outcome::Timeout { &mut self.retries } else { &mut self.cuts };
         *back = (*back + f64::from(u8::from(cut))).min(RETRY_STORE + 1.0);
         self.fleet.servers[slot as usize].board(self.now, -1);
-        if !matches!(outcome, Outcome::Moot | Outcome::Cancelled | Outcome::Timeout | Outcome::ConnectFailed)
-        {
+        if outcome.is_answer() {
             self.fleet.servers[slot as usize].hear(self.now, sent);
         }
         if !to_origin {
@@ -589,7 +582,7 @@
                 self.spell.answers += 1.0;
             }
             self.inflight -= 1;
-            self.judge(slot, if stale { Outcome::Moot } else { outcome }); // it says nothing of its server
+            self.judge(slot, if stale { Outcome::Moot } else { outcome }, latency); // it says nothing of its server
         } else if !stale && !matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             self.rate.learn(self.now, latency, outcome, in_time);
             self.limiter.set_rate(self.rate.per_s, self.now);
@@ -641,14 +634,18 @@
     }
 
     /// Passive health: what a read's outcome says of its server.
-    fn judge(&mut self, slot: u32, outcome: Outcome) {
+    fn judge(&mut self, slot: u32, outcome: Outcome, latency: Micros) {
         let server = &mut self.fleet.servers[slot as usize];
         let (now, unreachable) = (self.now, outcome == Outcome::ConnectFailed);
         server.book_end(outcome);
+        let late = (latency as f64).min(self.pace.aim_us) > SLOW * self.pace.median_us;
+        if matches!(outcome, Outcome::Ok | Outcome::Miss) {
+            self.pace.learn(latency);
+            server.answered = true;
+            server.bad *= 1.0 - BAD_GAIN;
+        }
         match outcome {
-            Outcome::Ok | Outcome::Miss => {
-                server.answered = true;
-                server.bad *= 1.0 - BAD_GAIN;
+            Outcome::Ok | Outcome::Miss if !late => {
                 server.faults *= 1.0 - FAULT_GAIN;
                 if server.out_until > 0 {
                     // Back, but one that fails by fits and starts is soon out again, and for longer.
@@ -660,7 +657,10 @@
             }
             Outcome::Moot | Outcome::Cancelled => {}
             Outcome::Full => server.full_until = now + FULL_US,
-            Outcome::Error | Outcome::Reset => server.faults += (1.0 - server.faults) * FAULT_GAIN,
+            // Guards those who keep to a slow server's keys: it answers, and each answer comes too late.
+            Outcome::Ok | Outcome::Miss | Outcome::Error | Outcome::Reset => {
+                server.faults += (1.0 - server.faults) * FAULT_GAIN
+            }
             _ => server.bad += (1.0 - server.bad) * if unreachable { 0.5 } else { BAD_GAIN },
         }
         let silent = server.bad > EJECT_SHARE;
--- a/crates/decide/src/records.rs
+++ b/crates/decide/src/records.rs
@@ -10,6 +10,9 @@
 /// Keys in the younger half of the table.
 const TABLE_KEYS: usize = 20_000;
 
+/// By which part an answer moves the median of all: seven-fold at most within a hundred answers.
+const PACE_STEP: f64 = 0.02;
+
 /// Table servers kept per key: its home, then where it goes when that is out of bounds.
 pub(crate) const RANKS: usize = 4;
 
@@ -30,6 +33,23 @@
     }
 }
 
+/// How quick the fleet is: about the median time of its answers, whatever a few slow servers take.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pace {
+    pub(crate) median_us: f64,
+    pub(crate) aim_us: f64, // the shortest of what is safe to repeat
+}
+
+impl Pace {
+    /// Starts at the shortest aim, and falls from there: nothing is slow before it is known what is quick.
+    pub(crate) fn new(aim_us: f64) -> Self {
+        Self { median_us: aim_us, aim_us }
+    }
+    pub(crate) fn learn(&mut self, time_us: Micros) {
+        self.median_us *= 1.0 + if time_us as f64 > self.median_us { PACE_STEP } else { -PACE_STEP };
+    }
+}
+
 /// The learned fetch rate: raised while the limiter binds and fetches are good, cut when they are not.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OriginRate {
@@ -70,6 +90,10 @@
     pub(crate) fn out_of_use(&self) -> bool {
         self.out_until > 0 && self.entry.presence == Presence::Ready
     }
+    /// Listed as ready, and no origin.
+    pub(crate) fn caches(&self) -> bool {
+        self.entry.presence == Presence::Ready && !self.is_origin
+    }
     /// Books attempts that begin or end there.
     pub(crate) fn board(&mut self, now: Micros, change: i32) {
         let (since, sum) = self.held;
@@ -173,7 +197,6 @@
     /// What this instance's requests came to at each ready cache server since it was last asked.
     pub(crate) fn take_loads(&mut self, now: Micros) -> Vec<Load> {
         let since = mem::replace(&mut self.told, now);
-        let ready = |s: &&mut Server| s.entry.presence == Presence::Ready && !s.is_origin;
         let span_us = now.saturating_sub(since).max(1) as f64;
         let load = |server: &mut Server| {
             server.board(now, 0);
@@ -181,7 +204,7 @@
             let (answered, failed) = mem::take(&mut server.ended);
             Load { server: server.entry.id, weight: server.weight * server.warmth, held, answered, failed }
         };
-        self.servers.iter_mut().filter(ready).map(load).collect()
+        self.servers.iter_mut().filter(|server| server.caches()).map(load).collect()
     }
 
     /// Takes in the parts that servers keep of their weights; rows of the table then rank again.
@@ -196,6 +219,13 @@
         }
     }
 
+    /// Brings the weights of warming servers up to date, once it is time.
+    pub(crate) fn ramp(&mut self, now: Micros, settings: &Settings) {
+        if self.next_ramp.is_some_and(|at| now >= at) {
+            self.reweigh(now, settings);
+        }
+    }
+
     /// Brings weights and sums up to date; a new generation tells table rows to rank again.
     pub(crate) fn reweigh(&mut self, now: Micros, settings: &Settings) {
         self.generation += 1;
@@ -341,6 +371,10 @@
     pub(crate) fn home(&self) -> Option<u32> {
         self.attempts.iter().find(|a| a.outcome == Some(Outcome::Miss)).map(|a| a.slot)
     }
+    /// Whether the origin has answered it, and so stored the value at its home.
+    pub(crate) fn stored(&self) -> bool {
+        self.attempts.iter().any(|a| a.to_origin && a.outcome == Some(Outcome::Ok))
+    }
     /// Whether its own fetch (or write) waits for its time or is out.
     pub(crate) fn fetching(&self) -> bool {
         self.phase == Phase::Held || self.attempts.iter().any(|a| a.to_origin && a.outcome.is_none())
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -222,6 +222,44 @@
     }
 }
 
+/// Reads one after the other, each answered after its server's time; how many each server got.
+fn timed(rig: &mut Rig, ids: std::ops::Range<u64>, ms: impl Fn(u64) -> Micros) -> BTreeMap<u64, usize> {
+    let mut sent = BTreeMap::new();
+    for id in ids {
+        let to = rig.sent_to(request(id, 0, id)).unwrap();
+        rig.now += 5 * MS;
+        rig.end_after(id, 0, Outcome::Ok, ms(to) * MS);
+        *sent.entry(to).or_default() += 1;
+    }
+    sent
+}
+
+#[test]
+fn a_server_that_answers_far_slower_than_the_fleet_is_taken_out_until_it_is_quick_again() {
+    let mut rig = Rig::new(settings(), 1, 9);
+    timed(&mut rig, 0..400, |_| 30);
+    timed(&mut rig, 400..800, |to| if to == 3 { 200 } else { 30 });
+    let out = timed(&mut rig, 800..1_200, |to| if to == 3 { 200 } else { 30 });
+    assert!(out.get(&3).copied().unwrap_or(0) < 5, "trials alone: {out:?}");
+    rig.now += 20_000 * MS;
+    timed(&mut rig, 1_200..1_600, |_| 30);
+    let back = timed(&mut rig, 1_600..2_000, |_| 30);
+    assert!(back[&3] > 20, "it has its keys again: {back:?}");
+}
+
+#[test]
+fn slowness_takes_none_out_where_all_are_slow_and_a_fifth_at_most_where_many_are() {
+    let mut rig = Rig::new(settings(), 1, 9);
+    timed(&mut rig, 0..400, |_| 180);
+    let jammed = timed(&mut rig, 400..800, |to| if to == 3 { 600 } else { 180 });
+    assert!(jammed[&3] > 20, "three times the median is beyond the aim: {jammed:?}");
+    let mut rig = Rig::new(settings(), 1, 9);
+    timed(&mut rig, 0..400, |_| 30);
+    timed(&mut rig, 400..1_200, |to| if to <= 4 { 200 } else { 30 });
+    let many = timed(&mut rig, 1_200..1_600, |to| if to <= 4 { 200 } else { 30 });
+    assert!((1..=4).filter(|slow| many.get(slow).is_some_and(|n| *n > 20)).count() >= 2, "{many:?}");
+}
+
 #[test]
 fn when_most_servers_fail_few_are_taken_out_unless_they_cannot_be_reached() {
     let (_, used) = after_failures(Rig::new(settings(), 1, 9), 1..=8, Outcome::Timeout);
