--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -42,3 +42,16 @@
     /// Failed.
     Failed,
 }
+
+impl Answer {
+    /// The word for logs.
+    #[must_use]
+    pub fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Streamed(_) => "begun to be served",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -280,6 +280,7 @@
     _held: Option<Held>,
     class: ClassId,
     fragile: bool,
+    taken: Instant,
     deadline: Instant,
     answer: Option<oneshot::Sender<Answer>>,
     attempts: u16,
@@ -556,12 +557,14 @@
             write: incoming.call.value.is_some(),
             time_left_us: incoming.time_left.as_micros() as Micros,
         };
+        let taken = Instant::now();
         let context = RequestContext {
             call: incoming.call,
             _held: incoming.held,
             class: incoming.class,
             fragile: self.fragile.get(incoming.class.0 as usize).is_none_or(|fragile| *fragile),
-            deadline: Instant::now() + incoming.time_left,
+            taken,
+            deadline: taken + incoming.time_left,
             answer: Some(answer),
             attempts: 0,
             stale: false,
@@ -610,11 +613,6 @@
                 return self.forget(id);
             }
         }
-        if ended.outcome == Outcome::Ok {
-            self.handle.claims.learn(ended.value.len());
-            self.answer(id, ended.large.map_or(Answer::Served(ended.value), Answer::Streamed));
-        }
-        let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
         let latency_us = sent.elapsed().as_micros() as Micros;
         log::debug!(
             "request {}: try {attempt} at {}: {:?} in {latency_us} us",
@@ -622,6 +620,11 @@
             peer.name,
             ended.outcome
         );
+        if ended.outcome == Outcome::Ok {
+            self.handle.claims.learn(ended.value.len());
+            self.answer(id, ended.large.map_or(Answer::Served(ended.value), Answer::Streamed));
+        }
+        let finished = self.contexts.get(&id).is_none_or(|context| context.answer.is_none());
         self.events.push_back(Event::Outcome {
             id,
             attempt,
@@ -667,7 +670,9 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(context) = self.contexts.get_mut(&id) else { return };
         if let Some(sender) = context.answer.take() {
-            self.handle.tally.borrow_mut().answered(context.class, &answer);
+            let (class, us) = (context.class, context.taken.elapsed().as_micros());
+            log::debug!("request {}: class {} {} after {us} us", id.0, class.0, answer.word());
+            self.handle.tally.borrow_mut().answered(class, &answer);
             let _ = sender.send(answer); // a client that has just left is told by its ticket
         }
     }
