--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -164,6 +164,15 @@
     pub tick_us: Micros,
 }
 
+impl Settings {
+    /// The shortest aim among the classes that are safe to repeat; a second where there are none.
+    #[must_use]
+    pub fn shortest_aim(&self) -> Micros {
+        let safe = self.classes.iter().filter(|class| class.effect == Effect::Retryable);
+        safe.map(|class| class.aim_us).min().unwrap_or(1_000_000).max(1)
+    }
+}
+
 impl Default for Settings {
     /// One lone instance, one zone, no classes, aside mode without an origin, three attempts one at a time,
     /// a pushed list, and servers that start at a tenth of their capacity and take 30 s to warm.
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -28,6 +28,7 @@
 const RATE_SPAN_US: f64 = 1e6; // and answers, fetches and tenants' requests, as rates
 const FULL_US: Micros = 100_000; // a server that turned a read away is out of bounds for this long
 const COLD_BUDGET: f64 = 1.5; // sends to a warming server, as a multiple of its ramped share of our reads
+const COLD_GROWTH: f64 = 1.2; // further sends for each quick answer of a warming server
 const BAD_GAIN: f64 = 0.25; // weight of one outcome in a server's smoothed failed share
 const FAULT_GAIN: f64 = 0.08; // the same for resets and bad answers: chance alone must not take a server out
 const EJECT_SHARE: f64 = 0.45; // smoothed failed share that takes a server out of use
@@ -220,9 +221,7 @@
         self.fleet.reweigh(self.now, &self.settings);
         if self.rate.per_s == 0.0 && self.fleet.ready > 0 {
             let start = START_PER_SERVER * f64::from(self.fleet.ready) / f64::from(self.settings.siblings);
-            let safe =
-                self.settings.classes.iter().filter(|c| c.effect == Effect::Retryable).map(|c| c.aim_us);
-            self.pace = Pace::new(safe.min().unwrap_or(1_000_000).max(1) as f64);
+            self.pace = Pace::new(self.settings.shortest_aim());
             let least = START_HELD * 1e6 / self.pace.aim_us;
             (self.rate.start, self.rate.per_s) = (start.max(least), start.max(least));
             self.limiter = WarmUpLimiter::new(self.rate.per_s, self.now);
@@ -276,9 +275,8 @@
     fn cold_permit(&mut self, slot: u32) -> bool {
         let server = &mut self.fleet.servers[slot as usize];
         let share = server.weight * server.warmth / self.fleet.listed;
-        server.cold_tokens =
-            (server.cold_tokens + (self.reads - server.cold_mark) * COLD_BUDGET * share).min(3.0);
-        server.cold_mark = self.reads;
+        let earned = (self.reads - mem::replace(&mut server.cold_mark, self.reads)) * COLD_BUDGET * share;
+        server.cold_tokens = (server.cold_tokens + earned).min(3.0);
         server.warmth >= 1.0 || server.cold_tokens >= 1.0
     }
     fn within_bounds(&self, slot: u32) -> bool {
@@ -366,10 +364,8 @@
     fn may_send(&self, open: &Open, slot: Option<u32>) -> bool {
         let Some(slot) = slot.or(self.fleet.origin) else { return false };
         let entry = &self.fleet.servers[slot as usize].entry;
-        let out = open.attempts.iter().filter(|a| a.outcome.is_none()).count();
-        let most_out = if self.settings.second_copies { 2 } else { 1 };
-        let used = open.left(&self.settings) == 0;
-        if entry.presence != Presence::Ready || open.phase == Phase::Done || used || out >= most_out {
+        let (used, most_out) = (open.left(&self.settings) == 0, 1 + usize::from(self.settings.second_copies));
+        if entry.presence != Presence::Ready || open.phase == Phase::Done || used || open.out() >= most_out {
             return false;
         }
         let mut maybe = open.attempts.iter().filter(|a| a.may_have_run());
@@ -582,7 +578,7 @@
                 self.spell.answers += 1.0;
             }
             self.inflight -= 1;
-            self.judge(slot, if stale { Outcome::Moot } else { outcome }, latency); // it says nothing of its server
+            self.judge(slot, if stale { Outcome::Moot } else { outcome }, latency); // stale: no word of it
         } else if !stale && !matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             self.rate.learn(self.now, latency, outcome, in_time);
             self.limiter.set_rate(self.rate.per_s, self.now);
@@ -638,7 +634,9 @@
         let server = &mut self.fleet.servers[slot as usize];
         let (now, unreachable) = (self.now, outcome == Outcome::ConnectFailed);
         server.book_end(outcome);
-        let late = (latency as f64).min(self.pace.aim_us) > SLOW * self.pace.median_us;
+        let (time, limit) = (latency as f64, SLOW * self.pace.median_us);
+        // Late through its own fault: few of ours were in its way, and the fleet is quick.
+        let late = time.min(self.pace.aim_us) > limit && f64::from(server.inflight) < BOUND_MIN;
         if matches!(outcome, Outcome::Ok | Outcome::Miss) {
             self.pace.learn(latency);
             server.answered = true;
@@ -647,6 +645,9 @@
         match outcome {
             Outcome::Ok | Outcome::Miss if !late => {
                 server.faults *= 1.0 - FAULT_GAIN;
+                // A cold server that is quick could do more: what it answers clocks what it is sent.
+                let quick = time < self.pace.median_us.min(HEDGE_PART * self.pace.aim_us);
+                server.cold_tokens += if quick { COLD_GROWTH } else { 0.0 };
                 if server.out_until > 0 {
                     // Back, but one that fails by fits and starts is soon out again, and for longer.
                     (server.out_until, server.bad) = (0, 0.5 * EJECT_SHARE);
@@ -657,11 +658,10 @@
             }
             Outcome::Moot | Outcome::Cancelled => {}
             Outcome::Full => server.full_until = now + FULL_US,
-            // Guards those who keep to a slow server's keys: it answers, and each answer comes too late.
-            Outcome::Ok | Outcome::Miss | Outcome::Error | Outcome::Reset => {
-                server.faults += (1.0 - server.faults) * FAULT_GAIN
-            }
-            _ => server.bad += (1.0 - server.bad) * if unreachable { 0.5 } else { BAD_GAIN },
+            Outcome::Timeout => server.bad += (1.0 - server.bad) * BAD_GAIN,
+            Outcome::ConnectFailed => server.bad += (1.0 - server.bad) * 0.5,
+            // An error, a broken connection, or an answer too late: guards the keys of a slow server.
+            _ => server.faults += (1.0 - server.faults) * FAULT_GAIN,
         }
         let silent = server.bad > EJECT_SHARE;
         if (!silent && server.faults <= FAULT_SHARE) || now < server.out_until {
--- a/crates/decide/src/records.rs
+++ b/crates/decide/src/records.rs
@@ -42,7 +42,8 @@
 
 impl Pace {
     /// Starts at the shortest aim, and falls from there: nothing is slow before it is known what is quick.
-    pub(crate) fn new(aim_us: f64) -> Self {
+    pub(crate) fn new(aim_us: Micros) -> Self {
+        let aim_us = aim_us as f64;
         Self { median_us: aim_us, aim_us }
     }
     pub(crate) fn learn(&mut self, time_us: Micros) {
@@ -396,8 +397,12 @@
     pub(crate) fn left(&self, settings: &Settings) -> usize {
         (settings.max_attempts as usize).saturating_sub(self.attempts.len())
     }
+    /// Attempts that are out.
+    pub(crate) fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
+    }
     pub(crate) fn all_ended(&self) -> bool {
-        self.attempts.iter().all(|a| a.outcome.is_some())
+        self.out() == 0
     }
 }
 
