Touch the file of orders on a thread of its own, and have a replaced process wait to be ended

In short: `Engine::order` wrote the file on the one thread, and a busy disk stopped four balancers for 7.4 s between two orders; a process that ends by itself is charged its whole life at once. Change: `maintenance::Keeping`, a machine without I/O for calls, looks, writes and time; its driver in the core; first orders are read beside the start (4 s at most). The announcement of who serves is written and read on such threads too, and the end does not wait for them.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -16,18 +16,19 @@
     Token,
 };
 use decide::policy::Router;
-use maintenance::{Maintenance, Order, OrderError, Orders};
+use maintenance::{Change, Keeping, Maintenance, Order, OrderError, Orders, Step, Verdict};
 use proto::discovery::List;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::{Future, poll_fn};
-use std::path::PathBuf;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_blocking;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::time::{DelayQueue, delay_queue};
 
@@ -39,6 +40,8 @@
 /// How often the orders that another process of this balancer may have been given are looked for. They are due 250 ms
 /// after that process has said yes.
 const ORDERS_SEEN: Duration = Duration::from_millis(100);
+/// How long a start waits for the orders of the process before, on a disk that stands still: it is due ready within 6 s.
+const FIRST_ORDERS: Duration = Duration::from_secs(4);
 
 /// The file of the orders in force.
 const ORDERS: &str = "spindlebeam-orders.json";
@@ -81,7 +84,11 @@
     News(News),
     /// A look at the figures.
     Look(oneshot::Sender<String>),
-    Order(Order, oneshot::Sender<Result<(), Unheeded>>),
+    Order(Order, oneshot::Sender<Verdict>),
+    /// What a look at the file of orders found.
+    Looked(Option<Orders>),
+    /// How a write of it ended.
+    Wrote(Result<(), String>),
     Talk(Talk),
 }
 
@@ -92,13 +99,8 @@
     #[error(transparent)]
     Order(#[from] OrderError),
     /// It could not be kept for the next process.
-    #[error("the order could not be written to {}: {error}", file.display())]
-    NotKept {
-        /// Where to.
-        file: PathBuf,
-        /// Why.
-        error: std::io::Error,
-    },
+    #[error("the order could not be written to {ORDERS}: {0}")]
+    NotKept(String),
     /// The core is gone.
     #[error("the core has stopped")]
     Stopped,
@@ -193,14 +195,20 @@
         figures.await.ok()
     }
 
-    /// Has an order of staff carried out; when it returns, it is in force, and kept for the next process.
+    /// Has an order of staff carried out; when it returns, it is in force. Yields whether it is kept for the next process
+    /// already; if not, it is as soon as the disk moves.
     ///
     /// # Errors
     /// When it was not carried out.
-    pub async fn order(&self, order: Order) -> Result<(), Unheeded> {
+    pub async fn order(&self, order: Order) -> Result<bool, Unheeded> {
         let (sender, done) = oneshot::channel();
         let _ = self.inputs.send(Input::Order(order, sender));
-        done.await.unwrap_or(Err(Unheeded::Stopped))
+        match done.await.map_err(|_| Unheeded::Stopped)? {
+            Verdict::Kept => Ok(true),
+            Verdict::InForce => Ok(false),
+            Verdict::Refused(why) => Err(why.into()),
+            Verdict::NotKept(why) => Err(Unheeded::NotKept(why)),
+        }
     }
 
     /// Gives the core the way to the other balancers.
@@ -305,6 +313,13 @@
     Overdue(RequestId),
 }
 
+/// What is still to come before this process is ready.
+#[derive(Debug, Clone, Copy)]
+struct Awaits {
+    list: bool,
+    orders: bool,
+}
+
 /// The core, owner of the module.
 pub struct Engine {
     router: Router,
@@ -315,8 +330,12 @@
     timers: DelayQueue<Due>,
     group: UpstreamGroup,
     maintenance: Maintenance,
-    /// Where orders are kept; nowhere where none can be given.
-    order_file: Option<OrderFile>,
+    /// Orders on their way between callers and their file.
+    keeping: Keeping<oneshot::Sender<Verdict>>,
+    /// Where orders are kept; nowhere where none can be given. Only threads of its own touch it.
+    order_file: Option<Arc<Mutex<OrderFile>>>,
+    /// What a start waits for: a list, and the orders of the process before.
+    awaits: Awaits,
     pools: Pools,
     lines: Rc<Lines>,
     /// Of each class, whether it must never run twice.
@@ -340,15 +359,12 @@
         // Unix time once, then a clock that only advances: `up_since_ms` is Unix time.
         let unix = unix_us();
         let folder = config.folder.as_ref().filter(|_| config.operator.is_some());
-        let mut order_file = folder.map(|folder| OrderFile::new(folder.join(ORDERS)));
-        let orders = order_file.as_mut().and_then(OrderFile::poll).unwrap_or_default();
-        if orders != Orders::default() {
-            log::info!("orders of the process before: {orders:?}");
-        }
+        let order_file = folder.map(|folder| Arc::new(Mutex::new(OrderFile::new(folder.join(ORDERS)))));
         let origin = config.settings.origin_kind.and_then(|kind| config.names.kinds.get(usize::from(kind)));
-        handle.draining.send_replace(orders.draining());
         let mut engine = Self {
-            maintenance: Maintenance::new(origin.cloned(), orders),
+            maintenance: Maintenance::new(origin.cloned(), Orders::default()),
+            keeping: Keeping::new(order_file.is_some()),
+            awaits: Awaits { list: true, orders: order_file.is_some() },
             order_file,
             router: Router::new(config.settings.clone(), config.seed, unix),
             handle: handle.clone(),
@@ -378,7 +394,8 @@
         let mut look = interval(ORDERS_SEEN);
         look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let first_list = sleep(FIRST_LIST);
-        tokio::pin!(first_list);
+        let first_orders = sleep(FIRST_ORDERS);
+        tokio::pin!(first_list, first_orders);
         loop {
             tokio::select! {
                 Some(input) = self.inputs.recv() => self.take(input),
@@ -408,7 +425,9 @@
                     }
                 }
                 _ = sweep.tick() => self.pools.sweep(),
-                _ = look.tick(), if self.order_file.is_some() => self.read_orders(),
+                _ = look.tick(), if self.order_file.is_some() => {
+                    self.keeping.tick(self.now() / 1_000, &mut self.maintenance);
+                }
                 _ = report.tick() => {
                     let (open, so_far) = self.pools.counts();
                     log::info!("{} requests open; {open} connections open; so far {so_far:?}", self.contexts.len());
@@ -417,12 +436,18 @@
                     }
                     log::info!("answers so far: {}", self.handle.tally.borrow());
                 }
-                () = &mut first_list, if !self.handle.ready() => {
+                () = &mut first_list, if self.awaits.list => {
                     log::warn!("discovery: silent; starting with the list known before");
-                    self.become_ready();
+                    self.awaits.list = false;
+                }
+                () = &mut first_orders, if self.awaits.orders => {
+                    log::error!("orders: {ORDERS} could not be read as yet; starting as if there were none");
+                    self.awaits.orders = false;
                 }
             }
+            self.keep();
             self.settle();
+            self.become_ready();
         }
     }
 
@@ -462,14 +487,18 @@
                 self.speak_later();
             }
             Input::Order(order, done) => {
-                let outcome = self.order(&order);
-                self.settle(); // the module has heard of it before anybody is told that it is in force
-                let _ = done.send(outcome);
+                self.keeping.ordered(self.now() / 1_000, &mut self.maintenance, order, done);
+            }
+            Input::Looked(news) => {
+                self.keeping.looked(self.now() / 1_000, &mut self.maintenance, news);
+                self.keep();
+                self.awaits.orders = false;
             }
-            Input::News(News::Watching) => self.become_ready(),
+            Input::Wrote(written) => self.keeping.wrote(self.now() / 1_000, &mut self.maintenance, written),
+            Input::News(News::Watching) => self.awaits.list = false,
             Input::News(News::Told(list)) => {
                 self.told(&list, false);
-                self.become_ready();
+                self.awaits.list = false;
                 self.dial_listed(&list);
             }
         }
@@ -487,7 +516,7 @@
     }
 
     fn become_ready(&mut self) {
-        if !self.handle.ready.send_replace(true) {
+        if !self.awaits.list && !self.awaits.orders && !self.handle.ready.send_replace(true) {
             log::info!("ready");
         }
     }
@@ -497,28 +526,56 @@
         self.listed(&laid, cached);
     }
 
-    /// Takes in what another process of this balancer was ordered.
-    fn read_orders(&mut self) {
-        if let Some(orders) = self.order_file.as_mut().and_then(OrderFile::poll) {
-            let changed = self.maintenance.adopt(orders);
-            self.orders_changed(&changed);
+    /// Does what is to be done about orders. The module has heard of one before anybody is told that it is in force.
+    fn keep(&mut self) {
+        while let Some(step) = self.keeping.poll() {
+            match step {
+                Step::Look => self.on_file(OrderFile::poll, Input::Looked),
+                Step::Write(orders) => {
+                    let save =
+                        move |file: &mut OrderFile| file.save(&orders).map_err(|error| error.to_string());
+                    self.on_file(save, Input::Wrote);
+                }
+                Step::Changed(change, hosts) => {
+                    match change {
+                        Change::Ordered(order) => log::info!("ordered: {order:?}"),
+                        Change::Found if self.awaits.orders => {
+                            log::info!("orders of the process before: {:?}", self.maintenance.orders());
+                        }
+                        Change::Found => {
+                            log::debug!("orders of the other process: {:?}", self.maintenance.orders())
+                        }
+                        Change::TakenBack => log::error!("orders: not written, and taken back"),
+                    }
+                    self.orders_changed(&hosts);
+                    self.settle();
+                }
+                Step::Answer(done, verdict) => {
+                    if verdict == Verdict::InForce {
+                        log::warn!(
+                            "orders: in force, but {ORDERS} is not written as yet: the disk stands still"
+                        );
+                    }
+                    let _ = done.send(verdict);
+                }
+            }
         }
     }
 
-    fn order(&mut self, order: &Order) -> Result<(), Unheeded> {
-        self.read_orders(); // what the other process was ordered must not be written over
-        let before = self.maintenance.orders().clone();
-        let changed = self.maintenance.carry_out(self.now() / 1_000, order)?;
-        let after = self.maintenance.orders();
-        if let Some(file) = self.order_file.as_mut().filter(|_| *after != before)
-            && let Err(error) = file.save(after)
-        {
-            self.maintenance.adopt(before);
-            return Err(Unheeded::NotKept { file: file.path().to_owned(), error });
-        }
-        log::info!("ordered: {order:?}");
-        self.orders_changed(&changed);
-        Ok(())
+    /// Does something with the file of orders on a thread of its own: the disk may stand still for seconds.
+    fn on_file<T: Send + 'static>(
+        &self, work: impl FnOnce(&mut OrderFile) -> T + Send + 'static,
+        done: impl FnOnce(T) -> Input + 'static,
+    ) {
+        let Some(file) = self.order_file.clone() else { return };
+        let inputs = self.handle.inputs.clone();
+        tokio::task::spawn_local(async move {
+            let working =
+                spawn_blocking(move || work(&mut file.lock().unwrap_or_else(PoisonError::into_inner)));
+            if let Ok(worked) = working.await {
+                let _ = inputs.send(done(worked));
+            }
+        });
     }
 
     fn orders_changed(&mut self, changed: &[String]) {
--- a/crates/gateway/src/front/operator.rs
+++ b/crates/gateway/src/front/operator.rs
@@ -136,7 +136,8 @@
 
     async fn order(&self, order: Order) -> Response<Full<Bytes>> {
         match self.handle.order(order).await {
-            Ok(()) => reply(StatusCode::OK, JSON, json!({"done": true}).to_string()),
+            Ok(true) => reply(StatusCode::OK, JSON, json!({"done": true}).to_string()),
+            Ok(false) => reply(StatusCode::ACCEPTED, JSON, json!({"done": true, "kept": false}).to_string()),
             Err(why @ Unheeded::Order(_)) => refusal(StatusCode::NOT_FOUND, &why.to_string()),
             Err(why) => {
                 log::error!("operators: {why}");
@@ -147,7 +148,7 @@
 
     fn ready(&self) -> Response<Full<Bytes>> {
         let why = if !self.handle.ready() {
-            "the list of cache hosts has not come yet"
+            "the list of cache hosts, or what was ordered before, has not come yet"
         } else if let Some(why) = self.front.winding() {
             why
         } else {
--- /dev/null
+++ b/crates/maintenance/src/keeping.rs
@@ -0,0 +1,249 @@
+//! When an order comes into force, when it is kept for the next process, and when its caller hears of it, on a disk that
+//! may stand still at any moment.
+
+use crate::{Maintenance, Millis, Order, OrderError, Orders};
+use std::collections::VecDeque;
+
+/// How long an order waits for a look at what the other process of this balancer was ordered, which it must not write over.
+/// It is due in force within a second.
+const LOOK_TIME: Millis = 200;
+/// How long a caller waits for the order to be written; a call is due its answer within a second.
+const ANSWER_TIME: Millis = 600;
+/// The pause after a write that failed and must be made good.
+const RETRY: Millis = 1_000;
+
+/// What is to be done, in order. `T` is whom to answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Step<T> {
+    /// Look whether the file holds other orders than it was last seen to hold: [`Keeping::looked`].
+    Look,
+    /// Write these orders, whole or not at all: [`Keeping::wrote`].
+    Write(Orders),
+    /// Orders came into force or out of it: there is something new to tell of these hosts, and perhaps of the drain.
+    Changed(Change, Vec<String>),
+    /// Answer a call.
+    Answer(T, Verdict),
+}
+
+/// Why the orders in force have changed.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A call.
+    Ordered(Order),
+    /// The file held others: another process of this balancer was called.
+    Found,
+    /// They could not be written, and were taken back.
+    TakenBack,
+}
+
+/// What a caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// In force, and the next process will find it.
+    Kept,
+    /// In force in this process; it is written as soon as the disk moves.
+    InForce,
+    /// Not in force: it cannot be carried out.
+    Refused(OrderError),
+    /// Not in force: it could not be written, for this reason.
+    NotKept(String),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Under {
+    Nothing,
+    /// A look, and how many of the calls that wait came before it.
+    Look(usize),
+    /// A write, how many of the callers who wait it is for, and how many of the orders not written so far it covers.
+    Write(usize, usize),
+}
+
+/// Orders remembered until they are written. More than these, all while the disk stands still, are carried out all the same;
+/// what is lost of the first is only that they are not carried out again over orders of the other process.
+const MOST_REMEMBERED: usize = 256;
+
+/// Orders on their way between callers, the balancer and the file. At most one operation on the file is under way.
+///
+/// The calls it holds are as many as its owner lets in at a time.
+#[derive(Debug)]
+pub struct Keeping<T> {
+    /// Whether there is a file; without one every order is as good as kept.
+    file: bool,
+    under: Under,
+    /// Calls that wait for a look.
+    asked: VecDeque<(Millis, Order, T)>,
+    /// Calls whose orders are in force, and wait to be written.
+    unwritten: VecDeque<(Millis, T)>,
+    /// What was ordered and is not written: carried out again over what the other process has written meanwhile.
+    remembered: VecDeque<(Millis, Order)>,
+    /// Whether the orders in force differ from what was last given to be written.
+    dirty: bool,
+    /// Whether a caller was told that an order is in force which has not been written: it is not taken back.
+    promised: bool,
+    /// What the file holds, and what is written to it now.
+    kept: Orders,
+    writing: Orders,
+    not_before: Millis,
+    steps: VecDeque<Step<T>>,
+}
+
+impl<T> Keeping<T> {
+    /// Nothing under way; `file`: whether there is a file, which holds nothing as far as is known.
+    #[must_use]
+    pub fn new(file: bool) -> Self {
+        Self {
+            file,
+            under: Under::Nothing,
+            asked: VecDeque::new(),
+            unwritten: VecDeque::new(),
+            remembered: VecDeque::new(),
+            dirty: false,
+            promised: false,
+            kept: Orders::default(),
+            writing: Orders::default(),
+            not_before: 0,
+            steps: VecDeque::new(),
+        }
+    }
+
+    /// The next thing to do.
+    pub fn poll(&mut self) -> Option<Step<T>> {
+        self.steps.pop_front()
+    }
+
+    /// Takes in a call.
+    pub fn ordered(&mut self, now: Millis, maintenance: &mut Maintenance, order: Order, who: T) {
+        self.asked.push_back((now, order, who));
+        self.go_on(now, maintenance);
+    }
+
+    /// Takes in what a look found, if that was new.
+    pub fn looked(&mut self, now: Millis, maintenance: &mut Maintenance, news: Option<Orders>) {
+        let Under::Look(before) = std::mem::replace(&mut self.under, Under::Nothing) else { return };
+        if let Some(news) = news {
+            self.kept = news.clone();
+            let ours = maintenance.orders().clone();
+            maintenance.adopt(news);
+            for (at, order) in &self.remembered {
+                // One that cannot be carried out now was when it was ordered: its host has left since.
+                let _ = maintenance.carry_out(*at, order);
+            }
+            let hosts = maintenance.changed_since(&ours);
+            self.steps.push_back(Step::Changed(Change::Found, hosts));
+        }
+        for _ in 0..before {
+            self.carry_out_first(now, maintenance);
+        }
+        self.go_on(now, maintenance);
+    }
+
+    /// Takes in the end of a write; `Err` has the reason why the file holds what it held before.
+    pub fn wrote(&mut self, now: Millis, maintenance: &mut Maintenance, written: Result<(), String>) {
+        let Under::Write(callers, orders) = std::mem::replace(&mut self.under, Under::Nothing) else {
+            return;
+        };
+        match written {
+            Ok(()) => {
+                self.kept = std::mem::take(&mut self.writing);
+                self.promised &= self.dirty;
+                self.remembered.drain(..orders.min(self.remembered.len()));
+                self.answer_first(if self.dirty { callers } else { self.unwritten.len() }, &Verdict::Kept);
+            }
+            Err(why) if !self.promised => {
+                self.dirty = false;
+                self.remembered.clear();
+                let hosts = maintenance.adopt(self.kept.clone());
+                self.steps.push_back(Step::Changed(Change::TakenBack, hosts));
+                self.answer_first(self.unwritten.len(), &Verdict::NotKept(why));
+            }
+            Err(_) => {
+                (self.dirty, self.not_before) = (true, now + RETRY);
+                self.answer_first(self.unwritten.len(), &Verdict::InForce);
+            }
+        }
+        self.go_on(now, maintenance);
+    }
+
+    /// Lets time pass: to be called about ten times a second. Looks at the file where nothing else is to be done.
+    pub fn tick(&mut self, now: Millis, maintenance: &mut Maintenance) {
+        while self.asked.front().is_some_and(|(since, ..)| now >= since + LOOK_TIME) {
+            self.carry_out_first(now, maintenance);
+            if let Under::Look(before) = &mut self.under {
+                *before = before.saturating_sub(1);
+            }
+        }
+        let late = self.unwritten.iter().take_while(|(since, _)| now >= since + ANSWER_TIME).count();
+        if late > 0 {
+            self.promised = true;
+            self.answer_first(late, &Verdict::InForce);
+            if let Under::Write(callers, _) = &mut self.under {
+                *callers = callers.saturating_sub(late);
+            }
+        }
+        self.go_on(now, maintenance);
+        if self.file && self.under == Under::Nothing {
+            self.look();
+        }
+    }
+
+    fn look(&mut self) {
+        self.under = Under::Look(self.asked.len());
+        self.steps.push_back(Step::Look);
+    }
+
+    /// Begins what is to be done next, if nothing is under way.
+    fn go_on(&mut self, now: Millis, maintenance: &mut Maintenance) {
+        if !self.file {
+            while !self.asked.is_empty() {
+                self.carry_out_first(now, maintenance);
+            }
+            self.dirty = false;
+            self.remembered.clear();
+            return self.answer_first(self.unwritten.len(), &Verdict::Kept);
+        }
+        if self.under != Under::Nothing {
+            return;
+        }
+        if self.dirty && now >= self.not_before {
+            self.dirty = false;
+            self.writing = maintenance.orders().clone();
+            self.under = Under::Write(self.unwritten.len(), self.remembered.len());
+            self.steps.push_back(Step::Write(self.writing.clone()));
+        } else if !self.asked.is_empty() {
+            self.look();
+        }
+    }
+
+    /// Puts the first call's order in force, or answers why not.
+    fn carry_out_first(&mut self, now: Millis, maintenance: &mut Maintenance) {
+        let Some((since, order, who)) = self.asked.pop_front() else { return };
+        let before = maintenance.orders().clone();
+        match maintenance.carry_out(now, &order) {
+            Err(why) => self.steps.push_back(Step::Answer(who, Verdict::Refused(why))),
+            Ok(hosts) => {
+                if *maintenance.orders() != before {
+                    self.dirty = true;
+                    self.remembered.push_back((now, order.clone()));
+                    if self.remembered.len() > MOST_REMEMBERED {
+                        self.remembered.pop_front();
+                        if let Under::Write(_, orders) = &mut self.under {
+                            *orders = orders.saturating_sub(1);
+                        }
+                    }
+                }
+                self.steps.push_back(Step::Changed(Change::Ordered(order), hosts));
+                // One that changes nothing is kept already, unless what it repeats is still to be written.
+                if self.dirty || matches!(self.under, Under::Write(..)) {
+                    self.unwritten.push_back((since, who));
+                } else {
+                    self.steps.push_back(Step::Answer(who, Verdict::Kept));
+                }
+            }
+        }
+    }
+
+    fn answer_first(&mut self, count: usize, verdict: &Verdict) {
+        let answers = self.unwritten.drain(..count.min(self.unwritten.len()));
+        self.steps.extend(answers.map(|(_, who)| Step::Answer(who, verdict.clone())));
+    }
+}
--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -6,8 +6,10 @@
 #![forbid(unsafe_code)]
 #![warn(unreachable_pub)]
 
+mod keeping;
 mod orders;
 
+pub use keeping::{Change, Keeping, Step, Verdict};
 pub use orders::{Order, OrderError, Orders, UnreadableOrders};
 
 use hashlink::LruCache;
@@ -91,6 +93,12 @@
         old.differences(&self.orders)
     }
 
+    /// The hosts about which there is something new to tell where these orders were in force before.
+    #[must_use]
+    pub fn changed_since(&self, orders: &Orders) -> Vec<String> {
+        orders.differences(&self.orders)
+    }
+
     /// The change of the list that brings its reader up to date about these hosts; those not listed now are left out.
     #[must_use]
     pub fn tell(&self, hosts: &[String]) -> List {
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -14,8 +14,8 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{oneshot, watch};
-use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::task::{LocalSet, spawn_blocking};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// New connections keep coming for this long after SIGTERM.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
@@ -26,10 +26,14 @@
 const TALK_AGAIN: Duration = Duration::from_millis(200);
 /// The file that names the process which serves.
 const SERVING: &str = "spindlebeam-serving";
+/// How long a process that is to end waits for what that file says.
+const SUCCESSOR_SEEN: Duration = Duration::from_millis(100);
 /// The platform ends the process this long after SIGTERM, or after the longest deadline where that is more, and 0.7 s: what
 /// is left is waited for until shortly before, also an answer that its client reads slowly.
 const GIVEN: Duration = Duration::from_secs(3);
 const LAST_CALL: Duration = Duration::from_millis(500);
+/// And by then it has ended it; one that has not been ended ends by itself.
+const ENDED_BY_THEN: Duration = Duration::from_millis(1_900);
 
 /// Serves as this file says until SIGTERM or SIGINT, and then until what was taken is answered.
 ///
@@ -38,7 +42,9 @@
 pub fn serve(file: &Path) -> Result<()> {
     let config = config::read(file)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config, file))
+    let ended = LocalSet::new().block_on(&runtime, run(config, file));
+    runtime.shutdown_background(); // guards the end against a thread that waits for a disk
+    ended
 }
 
 fn listen(field: &str, addr: SocketAddr) -> Result<TcpListener> {
@@ -66,12 +72,15 @@
 impl Shared {
     async fn announce(self, handle: Handle) {
         handle.until_ready().await;
-        if let Err(error) = std::fs::write(&self.0, std::process::id().to_string()) {
+        let (file, number) = (self.0.clone(), std::process::id().to_string());
+        if let Ok(Err(error)) = spawn_blocking(move || std::fs::write(file, number)).await {
             log::warn!("{}: {error}; a process before this one accepts on for a while", self.0.display());
         }
     }
-    fn has_successor(&self) -> bool {
-        let last = std::fs::read_to_string(&self.0).ok().and_then(|text| text.parse().ok());
+    /// Whether another process serves; no where the disk does not say in time: accepting on for a while harms nobody.
+    async fn has_successor(self) -> bool {
+        let last = timeout(SUCCESSOR_SEEN, spawn_blocking(move || std::fs::read_to_string(self.0))).await;
+        let last = last.ok().and_then(|read| read.ok()?.ok()?.parse().ok());
         last.is_some_and(|number: u32| number != std::process::id())
     }
 }
@@ -146,7 +155,11 @@
         ended = reload => bail!("rereading the configuration has stopped: {ended:?}"),
     }
     let terminated = Instant::now();
-    if shared.is_some_and(|shared| shared.has_successor()) {
+    let replaced = match shared {
+        Some(shared) => shared.has_successor().await,
+        None => false,
+    };
+    if replaced {
         log::info!("another process serves: accepting no more");
         let _ = stop.send(());
         front.wind_down(IDLE_AT_REPLACEMENT);
@@ -160,5 +173,10 @@
         log::warn!("some client connections were still busy at the end");
     }
     log::info!("{name}: done");
+    if replaced {
+        // Guards the other process: platforms book what a process that ends by itself has used in its whole life in that
+        // one second, and then hold the whole balancer back. This one holds nothing any more.
+        sleep_until(terminated + bounds.longest.max(GIVEN) + ENDED_BY_THEN).await;
+    }
     Ok(())
 }
