Count an answer as slow only from half the shortest aim on, and keep the only host in use

Seen: the cost benchmark stopped with "the peer hears of something: Timeout": its one peer answers in 50 us, some answers in 150 us, which is three times the median; at 0.4 of them the only host was taken out (`judge`: 0 out of use is less than a fifth of 1). Checked: with two hosts and answers of milliseconds the same happens to a host that is ten times slower than the others and still far within the aim. Change: slow is three times the median and at least half the shortest aim; faults never take out the only ready host (errors neither: some answers are better than none).

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -35,7 +35,7 @@
 const FAULT_SHARE: f64 = 0.4; // and that of resets and bad answers: one that serves most is worth keeping
 const EJECT_US: Micros = 1_000_000; // for this long at first; doubles with each failed trial, thrice at most
 const FAULTY: f64 = 0.2; // smoothed share of resets and bad answers from which repeats shun a server
-const SLOW: f64 = 3.0; // an answer that took this many times the fleet's median, itself quick, is a fault
+const SLOW: f64 = 3.0; // an answer that took this many times the fleet's median, and half an aim, is a fault
 const FAULT_PART: f64 = 0.2; // at most this part of the fleet at a time for faults: the rest bears its load
 const EJECT_PART: f64 = 0.34; // without proof of unreachability, at most this part of the fleet at a time
 const HEDGE_PART: f64 = 0.5; // a read unanswered for this part of its aim gets a second copy or another try
@@ -634,7 +634,8 @@
         let server = &mut self.fleet.servers[slot as usize];
         let (now, unreachable) = (self.now, outcome == Outcome::ConnectFailed);
         server.book_end(outcome);
-        let (time, limit) = (latency as f64, SLOW * self.pace.median_us);
+        let (time, half) = (latency as f64, HEDGE_PART * self.pace.aim_us);
+        let limit = half.max(SLOW * self.pace.median_us);
         // Late through its own fault: few of ours were in its way, and the fleet is quick.
         let late = time.min(self.pace.aim_us) > limit && f64::from(server.inflight) < BOUND_MIN;
         if matches!(outcome, Outcome::Ok | Outcome::Miss) {
@@ -646,8 +647,7 @@
             Outcome::Ok | Outcome::Miss if !late => {
                 server.faults *= 1.0 - FAULT_GAIN;
                 // A cold server that is quick could do more: what it answers clocks what it is sent.
-                let quick = time < self.pace.median_us.min(HEDGE_PART * self.pace.aim_us);
-                server.cold_tokens += if quick { COLD_GROWTH } else { 0.0 };
+                server.cold_tokens += if time < self.pace.median_us.min(half) { COLD_GROWTH } else { 0.0 };
                 if server.out_until > 0 {
                     // Back, but one that fails by fits and starts is soon out again, and for longer.
                     (server.out_until, server.bad) = (0, 0.5 * EJECT_SHARE);
@@ -670,7 +670,7 @@
         // When many look bad, the origin or the network is: only proof of unreachability takes out more.
         let out = (0..).zip(&self.fleet.servers).filter(|(n, s)| *n != slot && s.out_of_use()).count();
         let part = if silent { EJECT_PART } else { FAULT_PART };
-        if unreachable || (out as f64) < f64::from(self.fleet.ready) * part {
+        if unreachable || (self.fleet.ready > 1 && (out as f64) < f64::from(self.fleet.ready) * part) {
             let server = &mut self.fleet.servers[slot as usize];
             let span = EJECT_US << server.out_times.min(3);
             server.out_until = now + span + self.rng.u64(0..=span / 2);
