Close every client connection by one schedule while the balancer drains or ends

Seen: the users' balancers, told to drain, held client connections past 4 s.

Root cause: a drain had a deadline only for a connection at rest. Client::run (client.rs, the lines of `idle`, `closes` and `deadline`) took `closes` from Winding::closes only where no answer was due and nothing had come; every other state had its own clock (2.5 s, 30 s, 2 s, twice 2 s in `part`) or none, and the select took from the socket before it looked at a timer. Winding held one order at a time, so that SIGTERM put the drain out of force (`drained`) and a drain after SIGTERM never came into force (`follow_drain`). Accept waited for a slot without end (`room`).

Ruled out by the table (docs/design/crossings-drain.md): a drain that does not reach a process (AtOtherProcess fails in just the states in which Once does), SIGHUP, repeated drains, lost wake-ups (each wait reads the orders after it has registered), connections at rest, silent, malformed. Which of these causes the users met cannot be told from their report.

Mend: shutdown.rs is the one owner of drain and end of the process; each connection asks it for its schedule, whatever it is doing. What was read is answered in each stage: shed, waited for, or failed where its client sends on. Ticket::give_up counts what is failed so; it was counted as left by the client before. Commands that are parsed as the process ends are not sent on.

--- a/crates/decide/src/endings.rs
+++ b/crates/decide/src/endings.rs
@@ -64,6 +64,8 @@
     NoPlace,
     /// On arrival: no lease of the fleet is held; the module has not heard of it.
     Fenced,
+    /// The balancer drains, or its process ends.
+    ShuttingDown,
     /// Forgotten: a fault of this program.
     Forgotten,
 }
@@ -85,6 +87,7 @@
             Reason::Deadline => "deadline",
             Reason::NoPlace => "no-place",
             Reason::Fenced => "fenced",
+            Reason::ShuttingDown => "shutting-down",
             Reason::Forgotten => "forgotten",
         }
     }
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -4,11 +4,13 @@
 
 use crate::Front;
 use crate::request::{self, Asked};
+use crate::shutdown::{Activity, Schedule, Stage};
 use admission::{ConnectionId, Patience};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_util::FutureExt;
 use gateway::engine::Ticket;
 use gateway::{Answer, Held, Streamed};
-use parting::{hear, left, write};
+use parting::{Heard, hear, left, write};
 use proto::{ProtoError, resp};
 use std::collections::VecDeque;
 use std::io;
@@ -26,12 +28,22 @@
 /// holds a part of the room for values.
 const LARGE_VALUE_TIME: Duration = Duration::from_secs(30);
 
+/// Refuses a request with the promise that it has had no effect.
+const REFUSED: &str = "-BUSY\r\n";
+
 enum Reply {
     Now(BytesMut),
     Later(Ticket),
     Streamed(Box<Streamed>),
 }
 
+/// What a connection is to do next.
+enum Next {
+    GoOn,
+    /// It is to close, unless a command has come.
+    Close,
+}
+
 /// What the places were last told of a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Told {
@@ -48,6 +60,8 @@
     input: BytesMut,
     replies: VecDeque<Reply>,
     ending: bool,
+    /// Whether its client has ended its sending.
+    gone: bool,
     /// Since when a command is awaited that is not whole: the first, or one that has begun.
     awaited_since: Option<Instant>,
     /// How long a client may take over a command, from its first byte on, and over its first from connecting on.
@@ -103,6 +117,7 @@
             input: BytesMut::with_capacity(1024),
             replies: VecDeque::new(),
             ending: false,
+            gone: false,
             awaited_since: Some(Instant::now()),
             patience: Duration::from_micros(patience.0),
             value_until: None,
@@ -136,63 +151,83 @@
             if self.ending && self.replies.is_empty() {
                 return self.linger().await;
             }
-            let answered = self.replies.is_empty();
-            if answered {
-                self.tell(if self.awaited_since.is_some() { Told::Awaits } else { Told::Idle });
+            let schedule = self.schedule();
+            let stage = schedule.stage_now();
+            if stage >= Stage::Finishing && self.refuse_part_of_command() {
+                continue;
             }
-            let idle = answered && self.input.is_empty() && self.skip == 0;
-            let winding = self.front.winding.get();
-            // Guards requests against being read when no answer can be given any more: their clients send them once more.
-            let over = winding.is_some_and(|it| it.over());
-            if over && answered {
-                return self.part().await; // with part of a command as well: the rest of it is as good as unread
+            if stage >= Stage::Finishing && self.replies.is_empty() {
+                return self.part().await;
             }
-            if over {
+            if stage == Stage::Failing {
                 self.fail_the_rest();
                 continue;
             }
-            let may_read = !self.ending && self.replies.len() < MOST_WAITING;
-            let patience = self.awaited_since.filter(|_| may_read).map(|since| since + self.patience);
-            let deadline = patience.into_iter().chain(self.value_until.filter(|_| may_read)).min();
-            let (opened, asked) = (self.opened, self.told != Told::Awaits);
-            let closes = winding.filter(|_| idle).map(|it| it.closes(opened, asked, self.answered_at));
-            let ends = winding.and_then(|it| it.ends);
-            let deadline = deadline.into_iter().chain(closes).chain(ends).min();
-            let close = tokio::select! {
-                biased;
-                answer = next_answer(&mut self.replies) => {
-                    self.replies[0] = worded(answer);
-                    self.answered_at = self.front.winding.get().map(|_| Instant::now());
-                    false
-                }
-                heard = hear(&mut self.stream, &mut self.input, may_read) => {
-                    if heard? == 0 {
-                        return Ok(());
-                    }
-                    self.came();
-                    false
-                }
-                () = self.door.notified(), if answered => self.front.places.borrow().is_closing(self.id),
-                () = self.front.winds.notified() => false,
-                () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
-                    if self.front.winding.get().is_some_and(|it| it.over()) {
-                        continue;
-                    }
-                    if !self.input.is_empty() || self.skip > 0 {
-                        self.ending = true;
-                        self.replies.push_back(line("-ERR the command did not end in time\r\n"));
-                        continue;
-                    }
-                    true
-                }
-            };
-            // Guards a request that arrived as we were about to close: it has been taken.
-            if close && self.nothing_came().await? {
+            if let Next::Close = self.next_event(&schedule, stage).await?
+                && self.nothing_came().await?
+            {
                 return self.part().await;
             }
+            if self.gone {
+                return Ok(());
+            }
         }
     }
 
+    /// Waits for what comes next, and takes it in.
+    async fn next_event(&mut self, schedule: &Schedule, stage: Stage) -> io::Result<Next> {
+        let at_rest = self.replies.is_empty();
+        if at_rest {
+            self.tell(if self.awaited_since.is_some() { Told::Awaits } else { Told::Idle });
+        }
+        let may_read = !self.ending && self.replies.len() < MOST_WAITING && stage < Stage::Finishing;
+        let idle = at_rest && self.input.is_empty() && self.skip == 0;
+        let patience = self.awaited_since.filter(|_| may_read).map(|since| since + self.patience);
+        let value_until = self.value_until.filter(|_| may_read);
+        let idle_until = schedule.idle.filter(|_| idle);
+        let deadline = patience.into_iter().chain(value_until).chain(idle_until).min();
+        // Ahead of the socket, of which there may always be more to read.
+        if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+            return Ok(self.overdue());
+        }
+        let wakes = deadline.into_iter().chain(schedule.next_stage(stage)).min();
+        tokio::select! {
+            biased;
+            answer = next_answer(&mut self.replies) => {
+                self.replies[0] = worded(answer);
+                self.answered_at = self.front.shutdown.get().is_closing().then(Instant::now);
+            }
+            heard = hear(&mut self.stream, &mut self.input, may_read, stage >= Stage::Abandoning) => match heard? {
+                Heard::Bytes => self.came(),
+                Heard::End => self.gone = true,
+                Heard::SentOn => self.fail_the_rest(),
+            },
+            () = self.door.notified(), if at_rest => {
+                let closing = self.front.places.borrow().is_closing(self.id);
+                return Ok(if closing { Next::Close } else { Next::GoOn });
+            }
+            () = self.front.shutdown_changed.notified() => {}
+            () = sleep_until(wakes.unwrap_or(self.opened)), if wakes.is_some() => {}
+        }
+        Ok(Next::GoOn)
+    }
+
+    /// The time for something has come: for the rest of a command, or for a connection at rest to close.
+    fn overdue(&mut self) -> Next {
+        if self.input.is_empty() && self.skip == 0 {
+            return Next::Close;
+        }
+        self.ending = true;
+        self.replies.push_back(line("-ERR the command did not end in time\r\n"));
+        Next::GoOn
+    }
+
+    fn schedule(&self) -> Schedule {
+        let has_asked = self.told != Told::Awaits;
+        let activity = Activity { opened: self.opened, has_asked, answered_at: self.answered_at };
+        self.front.shutdown.get().schedule(&activity)
+    }
+
     /// Moves the answers that are due to `out`, and reads on where that has made room.
     fn gather(&mut self, out: &mut BytesMut) {
         loop {
@@ -216,11 +251,28 @@
         }
     }
 
-    /// Gives every request that is still owed its answer one, as the process ends: it would be lost with the connection.
+    /// Refuses the command of which only a part has come, where no more is read: its last bytes may be on their way, and it
+    /// would be lost with the connection. Whether there was one.
+    fn refuse_part_of_command(&mut self) -> bool {
+        let room = self.room.take();
+        // Behind as many as may wait, whole commands may stand there still: they are read as those are answered.
+        let partial = !self.ending && self.replies.len() < MOST_WAITING && !self.input.is_empty();
+        if partial && self.skip == 0 {
+            self.replies.push_back(line(REFUSED));
+            self.input.clear();
+            (self.awaited_since, self.value_until) = (None, None);
+            return true;
+        }
+        self.room = room;
+        false
+    }
+
+    /// Gives every request that is still owed its answer one: it would be lost with the connection.
     fn fail_the_rest(&mut self) {
         for reply in &mut self.replies {
-            if let Reply::Later(_) = reply {
-                *reply = worded(Answer::Failed);
+            if let Reply::Later(ticket) = reply {
+                let answer = ticket.now_or_never().unwrap_or_else(|| ticket.give_up());
+                *reply = worded(answer);
             }
         }
     }
@@ -290,7 +342,7 @@
         self.front.handle.no_room(incoming.class);
         self.input.clear();
         self.skip = missing;
-        Some(line("-BUSY\r\n"))
+        Some(line(REFUSED))
     }
 
     fn malformed(&mut self, error: ProtoError) -> Reply {
@@ -303,6 +355,7 @@
 
     /// Reads the commands that are whole, as far as there are places for their answers.
     fn parse(&mut self) {
+        let stage = self.schedule().stage_now();
         while !self.ending && self.replies.len() < MOST_WAITING {
             let found = match self.room {
                 Some(_) => resp::next_large_command(&mut self.input),
@@ -321,6 +374,10 @@
                     None => return,
                 },
                 Ok(Some(command)) => match request::read(&command, &self.front.names) {
+                    Asked::Request(incoming) if stage >= Stage::Shedding => {
+                        self.front.handle.shed(incoming.class);
+                        line(REFUSED)
+                    }
                     Asked::Request(mut incoming) => {
                         incoming.held = room;
                         match self.front.handle.submit(incoming) {
@@ -329,7 +386,7 @@
                         }
                     }
                     // Any other answer than yes sends clients elsewhere.
-                    Asked::Ping if self.front.drained() => line("-DRAINING\r\n"),
+                    Asked::Ping if self.front.shutdown.get().is_draining() => line("-DRAINING\r\n"),
                     Asked::Ping if self.front.handle.ready() => line("+PONG\r\n"),
                     Asked::Ping if self.front.handle.fenced() => line("-LOADING fenced\r\n"),
                     Asked::Ping => line("-LOADING the list of peers has not come yet\r\n"),
--- a/crates/front/src/client/parting.rs
+++ b/crates/front/src/client/parting.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest, Ready};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How long a client may take nothing of an answer.
 const WRITE_TIME: Duration = Duration::from_secs(5);
@@ -19,6 +19,8 @@
 /// How long a connection is left open behind our end of it where a reset would take with it what is on its way: an error
 /// that its client sends on after, or an answer that a command of the client crosses.
 const LINGER: Duration = Duration::from_secs(2);
+/// And how long at least where it should be closed by now.
+const SHORT_LINGER: Duration = Duration::from_millis(100);
 /// What is read meanwhile is thrown away, so many bytes at a time with a pause after each: guards the core against
 /// one that goes on sending at full speed.
 const LINGER_READ: (usize, Duration) = (16 * 1024, Duration::from_millis(2));
@@ -37,13 +39,36 @@
     }
 }
 
-/// Reads more, where more may be taken; else waits until the client has left. None when it has.
-pub(super) async fn hear(stream: &mut TcpStream, input: &mut BytesMut, may_read: bool) -> io::Result<usize> {
+/// What is heard of a client.
+pub(super) enum Heard {
+    /// Bytes were read.
+    Bytes,
+    /// It has ended its sending.
+    End,
+    /// It sends on, unread.
+    SentOn,
+}
+
+/// Reads more, where more may be taken; else waits until the client has left, or, where that is asked, has sent on.
+pub(super) async fn hear(
+    stream: &mut TcpStream, input: &mut BytesMut, may_read: bool, look_for_more: bool,
+) -> io::Result<Heard> {
     if may_read {
-        return stream.read_buf(input).await;
+        let read = stream.read_buf(input).await?;
+        return Ok(if read == 0 { Heard::End } else { Heard::Bytes });
     }
-    left(stream).await;
-    Ok(0)
+    while !has_left(stream) {
+        if look_for_more && has_unread(stream) {
+            return Ok(Heard::SentOn);
+        }
+        sleep(LOOKED_AT).await;
+    }
+    Ok(Heard::End)
+}
+
+/// Whether something lies unread.
+fn has_unread(stream: &TcpStream) -> bool {
+    stream.peek(&mut [0]).now_or_never().is_some_and(|peeked| peeked.is_ok_and(|bytes| bytes > 0))
 }
 
 /// Writes all of it, for as long as the client is there and goes on taking some: one that reads slowly is not cut off.
@@ -84,12 +109,16 @@
     pub(super) async fn part(mut self) -> io::Result<()> {
         log::debug!("client {}: closing", self.id.0);
         self.stream.shutdown().await?;
+        let now = Instant::now();
+        let until = self.schedule().linger_until(now, SHORT_LINGER, LINGER);
         let wrote_lately = self.written_at.is_some_and(|at| at.elapsed() < LINGER);
-        let time = if wrote_lately { LINGER } else { CROSSING };
-        let Ok(ready) = timeout(time, self.stream.ready(Interest::READABLE)).await else { return Ok(()) };
+        let crossing = if wrote_lately { until } else { until.min(now + CROSSING) };
+        let Ok(ready) = timeout_at(crossing, self.stream.ready(Interest::READABLE)).await else {
+            return Ok(());
+        };
         if !ready?.is_read_closed() {
             self.front.places.borrow_mut().crossed();
-            let _ = timeout(LINGER, left(&self.stream)).await;
+            let _ = timeout_at(until, left(&self.stream)).await;
         }
         Ok(())
     }
@@ -99,6 +128,7 @@
     pub(super) async fn linger(&mut self) -> io::Result<()> {
         self.tell(Told::Awaits);
         self.stream.shutdown().await?;
+        let until = self.schedule().linger_until(Instant::now(), SHORT_LINGER, LINGER);
         self.input = BytesMut::with_capacity(LINGER_READ.0);
         let drain = async {
             while self.stream.read_buf(&mut self.input).await? > 0 {
@@ -108,7 +138,7 @@
             io::Result::Ok(())
         };
         tokio::select! {
-            drained = timeout(LINGER, drain) => drained.unwrap_or(Ok(())),
+            drained = timeout_at(until, drain) => drained.unwrap_or(Ok(())),
             () = self.door.notified() => Ok(()),
         }
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,12 +11,15 @@
 mod client;
 pub mod operator;
 mod request;
+mod shutdown;
 
 use admission::{ConnectionId, Micros, Places};
 use gateway::engine::Handle;
 use gateway::setup::Names;
 use rustc_hash::FxHashMap;
 use seldom::Seldom;
+pub use shutdown::LAST_WRITES;
+use shutdown::Shutdown;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::net::IpAddr;
@@ -31,11 +34,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long, at the end, those that have been dialled already are still accepted.
 const LAST_ACCEPTS: Duration = Duration::from_millis(20);
-/// How long a connection that was just accepted may take to its first command while connections are to close. Guards
-/// against closing it as that command is on its way.
-const FIRST_COMMAND: Duration = Duration::from_millis(300);
-/// How long after the call to drain those that ask nothing are closed; the front stops sending new ones 0.3 s after it.
-const DRAIN_IDLE: Duration = Duration::from_secs(1);
 /// How often what has become of client connections is logged.
 const REPORT: Duration = Duration::from_secs(10);
 
@@ -54,39 +52,17 @@
     full: Seldom,
     failed: Seldom,
     freed: Notify,
-    /// Set while connections are to close.
-    winding: Cell<Option<Winding>>,
+    /// Whether and when connections are to close.
+    shutdown: Cell<Shutdown>,
     /// Wakes those who wait for that to change.
-    winds: Notify,
+    shutdown_changed: Notify,
 }
 
-/// Why client connections are to close, and how fast.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Winding {
-    ending: bool,
-    since: Instant,
-    /// How long after that those that ask nothing are closed. Others are closed right behind the answer to their next
-    /// request, where a close cannot cross a command.
-    idle: Duration,
-    /// When the process ends: nothing is read from then on, and what is still owed an answer has failed.
-    ends: Option<Instant>,
-}
-
-impl Winding {
-    /// Whether nothing may be read any more.
-    fn over(&self) -> bool {
-        self.ends.is_some_and(|ends| Instant::now() >= ends)
-    }
-
-    /// When a connection that owes nothing and is owed nothing is to close: it was opened and last answered then.
-    fn closes(&self, opened: Instant, asked: bool, answered: Option<Instant>) -> Instant {
-        match answered {
-            _ if self.over() => self.since,
-            Some(at) if at >= self.since => at,
-            _ if asked => self.since + self.idle,
-            _ => (self.since + self.idle).max(opened + FIRST_COMMAND),
-        }
-    }
+/// Whether there is a connection slot for a newcomer.
+enum Room {
+    Slot,
+    /// None, and it is not waited for.
+    None,
 }
 
 impl Front {
@@ -105,8 +81,8 @@
             full: Seldom::default(),
             failed: Seldom::default(),
             freed: Notify::new(),
-            winding: Cell::default(),
-            winds: Notify::new(),
+            shutdown: Cell::default(),
+            shutdown_changed: Notify::new(),
         })
     }
 
@@ -128,15 +104,19 @@
             let accepted = tokio::select! {
                 biased;
                 _ = &mut stop => break,
-                accepted = async { self.room().await; listener.accept().await } => accepted,
+                accepted = async { (self.room().await, listener.accept().await) } => accepted,
                 _ = report.tick() => {
                     self.report();
                     continue;
                 }
             };
             match accepted {
-                Ok((stream, address)) => self.clone().serve(stream, address.ip()),
-                Err(error) => {
+                (Room::Slot, Ok((stream, address))) => self.clone().serve(stream, address.ip()),
+                (Room::None, Ok((stream, address))) => {
+                    log::debug!("{address}: turned away, all connections are busy while draining");
+                    drop(stream); // unread, so that its client asks elsewhere
+                }
+                (_, Err(error)) => {
                     // Guards against a spin on EMFILE: the client stays in the backlog meanwhile.
                     if let Some(more) = self.failed.line() {
                         log::warn!("accepting: {error}{more}");
@@ -152,17 +132,22 @@
         // Guards the wind-down against clients that dial anew as soon as they are turned away.
         let _ = timeout(LAST_ACCEPTS, async {
             loop {
-                self.room().await;
+                let room = self.room().await;
                 let Ok((stream, address)) = listener.accept().await else { return };
-                self.clone().serve(stream, address.ip());
+                if let Room::Slot = room {
+                    self.clone().serve(stream, address.ip());
+                }
             }
         })
         .await;
     }
 
     /// Waits for a place for one more client, at the cost of one that [`Places`] picks.
-    async fn room(&self) {
+    async fn room(&self) -> Room {
         while !self.decide(Places::has_room) {
+            if self.shutdown.get().turns_away(Instant::now()) {
+                return Room::None;
+            }
             if self.places.borrow().all_busy()
                 && let Some(more) = self.full.line()
             {
@@ -171,6 +156,7 @@
             // Guards against waiting for one that was asked to close just as its next request came.
             let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
         }
+        Room::Slot
     }
 
     /// Tells the places of something, and passes on whom they ask to close for it.
@@ -209,9 +195,8 @@
 
     /// Has every connection closed, those that ask nothing after `idle`, and gives all that is taken its answer by `ends`.
     /// For good: a drain that ends changes nothing.
-    pub fn wind_down(&self, idle: Duration, ends: Instant) {
-        self.winding.set(Some(Winding { ending: true, since: Instant::now(), idle, ends: Some(ends) }));
-        self.winds.notify_waiters();
+    pub fn terminate(&self, idle: Duration, ends: Instant) {
+        self.change_shutdown(|shutdown| shutdown.terminate(Instant::now(), idle, ends));
     }
 
     /// Has connections closed while the balancer is being drained, for as long as the program runs.
@@ -219,32 +204,24 @@
         let mut draining = self.handle.draining();
         loop {
             let drained = *draining.borrow_and_update();
-            let before = self.winding.get();
-            if before.is_none_or(|winding| !winding.ending) && before.is_some() != drained {
-                let since = Instant::now();
-                self.winding.set(drained.then_some(Winding {
-                    ending: false,
-                    since,
-                    idle: DRAIN_IDLE,
-                    ends: None,
-                }));
-                self.winds.notify_waiters();
-            }
+            self.change_shutdown(|shutdown| shutdown.drain(Instant::now(), drained));
             if draining.changed().await.is_err() {
                 return; // the core is gone
             }
         }
     }
 
-    /// Whether the balancer is being drained; one that ends is asked by nobody who has heard of it.
-    fn drained(&self) -> bool {
-        self.winding.get().is_some_and(|it| !it.ending)
+    fn change_shutdown(&self, change: impl FnOnce(&mut Shutdown)) {
+        let mut shutdown = self.shutdown.get();
+        change(&mut shutdown);
+        self.shutdown.set(shutdown);
+        self.shutdown_changed.notify_waiters();
     }
 
     /// Why no client should come here now, if so.
     #[must_use]
-    pub fn winding(&self) -> Option<&'static str> {
-        self.winding.get().map(|it| if it.ending { "this process is ending" } else { "draining" })
+    pub fn closing_reason(&self) -> Option<&'static str> {
+        self.shutdown.get().reason()
     }
 
     /// Waits until no client connection is open.
--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -177,7 +177,7 @@
             "fenced: no lease of the fleet is held, and nothing new is taken"
         } else if !self.handle.ready() {
             "the list of cache hosts, or what was ordered before, has not come yet"
-        } else if let Some(why) = self.front.winding() {
+        } else if let Some(why) = self.front.closing_reason() {
             why
         } else {
             return reply(StatusCode::OK, JSON, json!({"ready": true}).to_string());
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -41,6 +41,8 @@
 enum Input {
     Arrived(RequestId, Incoming, handle::Owed),
     Left(RequestId),
+    /// Its front has failed it, and tells its client so.
+    GivenUp(RequestId),
     TryEnded {
         id: RequestId,
         attempt: u16,
@@ -263,6 +265,7 @@
         match input {
             Input::Arrived(id, incoming, owed) => self.arrived(id, incoming, owed),
             Input::Left(id) => self.left(id),
+            Input::GivenUp(id) => self.given_up(id),
             Input::TryEnded { id, attempt, peer, sent, ended, under } => {
                 self.count_try(under, peer.origin, ended.outcome);
                 self.try_ended(id, attempt, &peer, sent, ended)
--- a/crates/gateway/src/engine/context.rs
+++ b/crates/gateway/src/engine/context.rs
@@ -174,17 +174,29 @@
         }
     }
 
+    /// Its front has failed it: the answer is counted, and nothing more is done for it.
+    pub(super) fn given_up(&mut self, id: RequestId) {
+        if self.contexts.get(&id).is_some_and(|context| context.answer.is_some()) {
+            self.fail_for(id, Reason::ShuttingDown);
+        }
+    }
+
     /// Guards the rule that none is lost against a request that the module forgot: found by nothing so far.
     pub(super) fn overdue(&mut self, id: RequestId) {
         if self.contexts.get(&id).is_some_and(|context| context.answer.is_some()) {
             log::error!("request {} had no answer at its deadline", id.0);
-            self.handle.tally.borrow_mut().fail(Reason::Forgotten);
-            self.answer(id, Answer::Failed);
-            self.events.push_back(Event::Expired(id));
-            self.forget(id);
+            self.fail_for(id, Reason::Forgotten);
         }
     }
 
+    /// Fails an open request without the module.
+    fn fail_for(&mut self, id: RequestId, why: Reason) {
+        self.handle.tally.borrow_mut().fail(why);
+        self.answer(id, Answer::Failed);
+        self.events.push_back(Event::Expired(id));
+        self.forget(id);
+    }
+
     /// Guards the timers of others: a key may be given again once its timer has fallen due.
     pub(super) fn fell_due(&mut self, id: RequestId, key: delay_queue::Key) {
         if let Some(context) = self.contexts.get_mut(&id) {
--- a/crates/gateway/src/engine/handle.rs
+++ b/crates/gateway/src/engine/handle.rs
@@ -153,6 +153,11 @@
         count_unseen(&self.tally, class, Reason::NoPlace);
     }
 
+    /// Counts a request that its front has shed, since the balancer drains or its process ends.
+    pub fn shed(&self, class: ClassId) {
+        count_unseen(&self.tally, class, Reason::ShuttingDown);
+    }
+
     /// Tells the core what is heard of discovery, ahead of all that waits.
     pub fn hear(&self, news: News) {
         let _ = self.news.send(news);
@@ -269,6 +274,16 @@
     answered: bool,
 }
 
+impl Ticket {
+    /// Fails the request for its front, which can wait for no answer any more.
+    pub fn give_up(&mut self) -> Answer {
+        self.answered = true;
+        self.owed.set(false);
+        let _ = self.inputs.send(Input::GivenUp(self.id));
+        Answer::Failed
+    }
+}
+
 impl Future for Ticket {
     type Output = Answer;
 
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -6,7 +6,7 @@
 use anyhow::{Context, Result, bail};
 use decide::api::Discovery;
 use discovery::Way;
-use front::{Front, operator};
+use front::{Front, LAST_WRITES, operator};
 use futures_util::FutureExt;
 use gateway::engine::{Engine, Handle, unix_us};
 use gateway::setup::Config;
@@ -36,7 +36,6 @@
 /// [`LAST_WRITES`] is left for writing it.
 const GIVEN: Duration = Duration::from_secs(3);
 const LAST_ANSWER: Duration = Duration::from_millis(500);
-const LAST_WRITES: Duration = Duration::from_millis(100);
 /// And by then it has ended it; one that has not been ended ends by itself.
 const ENDED_BY_THEN: Duration = Duration::from_millis(1_900);
 
@@ -176,12 +175,12 @@
     if replaced {
         log::info!("another process serves: accepting no more");
         let _ = stop.send(());
-        front.wind_down(IDLE_AT_REPLACEMENT, ends);
+        front.terminate(IDLE_AT_REPLACEMENT, ends);
     } else {
         sleep(STILL_ACCEPTING).await;
         let _ = stop.send(());
         let _ = accepting.await;
-        front.wind_down(Duration::ZERO, ends);
+        front.terminate(Duration::ZERO, ends);
     }
     if timeout_at(ends + LAST_WRITES, front.emptied()).await.is_err() {
         log::warn!("some client connections were still busy at the end");
--- a/crates/spindlebeam/tests/crossings_client.rs
+++ b/crates/spindlebeam/tests/crossings_client.rs
@@ -1,6 +1,7 @@
 //! The end of a client's connection: clients that leave in any state, and what crosses the end of the process.
 
 mod platform;
+use platform::sockets::in_state;
 use platform::*;
 use rstest::rstest;
 use std::net::Shutdown;
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -3,6 +3,8 @@
 //! Nothing sleeps: a test waits for what happens, and `PATIENCE` only ends one that waits for ever.
 #![allow(dead_code)]
 
+pub mod sockets;
+
 use bytes::BytesMut;
 use proto::resp::next_command;
 use serde_json::{Value, json};
@@ -14,7 +16,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -97,6 +99,17 @@
             }
         }
     }
+    /// The next request within a time, if one comes.
+    pub fn asked_within(&self, time: Duration) -> Option<Asked> {
+        let until = Instant::now() + time;
+        loop {
+            match self.seen.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(Seen::Asked(asked)) => return Some(asked),
+                Ok(Seen::Closed) => {}
+                Err(_) => return None,
+            }
+        }
+    }
     /// Waits for a further connection.
     pub fn opened(&self) -> bool {
         self.opened.recv_timeout(PATIENCE).is_ok()
@@ -126,12 +139,6 @@
     }
 }
 
-/// Whether the system holds a connection from this local address to this port in a state, by its number.
-pub fn in_state(local: SocketAddr, remote: u16, state: &str) -> bool {
-    let held = format!("0100007F:{:04X} 0100007F:{remote:04X} {state}", local.port());
-    std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(|line| line.contains(&held))
-}
-
 /// The next request at any of these, and at which.
 pub fn next_asked(peers: &[Peer]) -> (usize, Asked) {
     let until = Instant::now() + PATIENCE;
@@ -493,6 +500,28 @@
     pub fn raw(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).unwrap();
     }
+    /// Sends what goes without waiting; nothing once the connection has ended, or is full.
+    pub fn try_raw(&mut self, bytes: &[u8]) {
+        let mut stream = self.0.get_ref();
+        let _ = stream.write(bytes);
+    }
+    /// Sends the same on a thread of its own, as fast as it is taken, until the connection has ended.
+    pub fn send_without_pause(&self, bytes: Vec<u8>) {
+        let mut stream = self.0.get_ref().try_clone().unwrap();
+        thread::spawn(move || while stream.write_all(&bytes).is_ok() {});
+    }
+    /// Sends a read; nothing once the connection has ended.
+    pub fn try_get(&mut self, class: &str, key: &str) {
+        self.try_raw(&command(&["CACHE.GET", key, &new_id(), &format!("c={class},t=acme,d=60000")]));
+    }
+    /// Has all further answers read on a thread of its own, up to the end of the connection.
+    pub fn read_apart(&self) -> JoinHandle<Vec<String>> {
+        let mut reader = Client::of(self.0.get_ref().try_clone().unwrap());
+        thread::spawn(move || {
+            let answers = std::iter::from_fn(|| Some(reader.answer()).filter(|answer| !answer.is_empty()));
+            answers.collect()
+        })
+    }
     pub fn port(&self) -> u16 {
         self.0.get_ref().local_addr().unwrap().port()
     }
@@ -567,6 +596,7 @@
 
 /// A balancer with this many peers, and an origin.
 pub struct Platform {
+    pub config: Value,
     pub peers: Vec<Peer>,
     pub origin: Peer,
     pub discovery: Discovery,
@@ -599,21 +629,30 @@
         let peers = (0..peers).map(|_| Peer::start(false)).collect();
         Self::of(peers, Peer::start(true), descriptors, edit)
     }
+    /// A balancer whose clients' socket the platform holds, so that others can take part in it.
+    pub fn shared(home: &Home, edit: impl FnOnce(&mut Value)) -> Self {
+        Self::at(home, vec![Peer::start(false)], Peer::start(true), 1024, edit)
+    }
     /// Of these peers and this origin.
     pub fn of(peers: Vec<Peer>, origin: Peer, descriptors: u32, edit: impl FnOnce(&mut Value)) -> Self {
+        Self::at(&Home::alone(), peers, origin, descriptors, edit)
+    }
+    fn at(
+        home: &Home, peers: Vec<Peer>, origin: Peer, descriptors: u32, edit: impl FnOnce(&mut Value),
+    ) -> Self {
         let mut members = vec![member("origin", origin.addr, "ready")];
         members.extend(peers.iter().enumerate().map(|(i, p)| member(&format!("s-{i}"), p.addr, "ready")));
         let discovery = Discovery::start(list(1, true, &members));
         let mut config = config(discovery.addr, 1024, Value::Null);
         edit(&mut config);
-        let balancer = Balancer::start(&config, descriptors);
+        let balancer = Balancer::of(home, home.spawn(&config.to_string(), descriptors), &config);
         let watch = discovery.watch();
         balancer.logged("ready");
         assert!(
             peers.iter().chain([&origin]).all(Peer::opened),
             "each is dialled ahead of its first request"
         );
-        Self { peers, origin, discovery, watch, balancer }
+        Self { config, peers, origin, discovery, watch, balancer }
     }
     /// A key whose first server is this peer, found by asking; all keys tried are answered.
     pub fn key_of(&self, peer: usize) -> String {
