Answer malformed, cut and stalled calls of operators in time, and drain for none

Seen, with the new rows of operators.rs on the program before: POST /drain whose body is cut short, stalls, is too long or is in bad chunks was answered 200 and drained; a head cut short was closed without an answer; a head that stalls was closed after 2 s without one.

Root cause: Door::answer in operator.rs gave the order without reading the body; hyper answers only heads that it can read to their end, and `attend` dropped the connection after CALL_TIME (2 s). The drop over unread bytes could reset an answer on its way.

Ruled out: wrong method and bytes that are no HTTP were answered 405 and 400 before.

Mend: the body is read whole, within a bound of size and time, before anything is carried out; operator/connection.rs answers 400 or 408 where hyper leaves a call without an answer, and reads what follows the answer for 0.5 s at most, in which the caller gives way to others.

Got worse: a caller that says nothing is closed after 0.8 s (2 s before).

--- a/crates/front/src/operator.rs
+++ b/crates/front/src/operator.rs
@@ -1,33 +1,35 @@
 //! The door for operators: HTTP/1.1, one call per connection, answered from the core and never made to wait for traffic.
 
+mod connection;
+
 use crate::Front;
+use connection::Progress;
 use gateway::engine::{Handle, Unheeded};
 use gateway::fleet::{Call as FleetCall, Proposal};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{ALLOW, CONTENT_TYPE};
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use maintenance::Order;
 use seldom::Seldom;
 use serde::Deserialize;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Callers at a time. Beyond it, the one that has kept us waiting longest for its call gives way, so that those who stay
 /// and say nothing keep nobody out. The configuration keeps as many descriptors back.
 pub const MOST_CALLERS: usize = 16;
-/// How long a call may take, from connecting to the last byte of its answer.
-const CALL_TIME: Duration = Duration::from_secs(2);
+/// The call that proposes a change of the calendar.
+const CALENDAR: &str = "/fleet/calendar";
+/// Calls that change something.
+const POSTED: [&str; 5] = ["/drain", "/undrain", "/cache-hosts/disable", "/cache-hosts/enable", CALENDAR];
 /// The longest body of a call.
 const MOST_BODY: usize = 4 * 1024;
 /// The longest proposal for the calendar: one may name hundreds of hosts.
@@ -40,8 +42,7 @@
 /// One that has connected.
 struct Caller {
     number: u64,
-    /// Whether its call has come, and is being answered.
-    called: Rc<Cell<bool>>,
+    progress: Rc<Cell<Progress>>,
     task: AbortHandle,
 }
 
@@ -75,11 +76,40 @@
     }
 }
 
+/// What is wrong with a call's body.
+#[derive(Debug, thiserror::Error)]
+enum BadCall {
+    #[error("{0}")]
+    Malformed(String),
+    #[error("{why}")]
+    Field { why: String, field: String },
+    #[error("more than {0} bytes")]
+    TooLong(usize),
+    #[error("the body did not come in time")]
+    TooSlow,
+}
+
+impl BadCall {
+    fn answer(self) -> Response<Full<Bytes>> {
+        let why = self.to_string();
+        match self {
+            BadCall::Malformed(_) => refusal(StatusCode::BAD_REQUEST, &why),
+            BadCall::Field { field, .. } => {
+                let said = json!({"error": why, "field": field});
+                reply(StatusCode::BAD_REQUEST, JSON, said.to_string())
+            }
+            BadCall::TooLong(_) => refusal(StatusCode::PAYLOAD_TOO_LARGE, &why),
+            BadCall::TooSlow => refusal(StatusCode::REQUEST_TIMEOUT, &why),
+        }
+    }
+}
+
 impl Door {
     /// Waits for a place, at the cost of whoever has kept us waiting longest.
     async fn room(&self) {
         while self.callers.borrow().len() >= MOST_CALLERS {
-            let silent = self.callers.borrow().iter().position(|caller| !caller.called.get());
+            let silent =
+                self.callers.borrow().iter().position(|caller| caller.progress.get() == Progress::Waiting);
             match silent.and_then(|at| self.callers.borrow_mut().remove(at)) {
                 Some(caller) => {
                     caller.task.abort();
@@ -93,58 +123,55 @@
     }
 
     fn attend(self: Rc<Self>, number: u64, stream: TcpStream) {
-        let called = Rc::new(Cell::new(false));
-        let (door, flag) = (self.clone(), called.clone());
+        let progress = Rc::new(Cell::new(Progress::Waiting));
+        let (door, reported) = (self.clone(), progress.clone());
         let task = tokio::task::spawn_local(async move {
-            let answer = service_fn(|request| {
-                flag.set(true);
+            let answer = |request, until| {
                 let door = door.clone();
-                async move { Ok::<_, Infallible>(door.answer(request).await) }
-            });
-            let mut server = hyper::server::conn::http1::Builder::new();
-            // A caller may end its sending behind its call, and reads on all the same.
-            let call =
-                server.keep_alive(false).half_close(true).serve_connection(TokioIo::new(stream), answer);
-            if let Ok(Err(error)) = timeout(CALL_TIME, call).await {
-                log::debug!("operators: {error}");
-            }
+                async move { door.answer(request, until).await }
+            };
+            connection::serve(stream, reported, answer).await;
             door.callers.borrow_mut().retain(|caller| caller.number != number);
             door.left.notify_one();
         });
-        self.callers.borrow_mut().push_back(Caller { number, called, task: task.abort_handle() });
+        self.callers.borrow_mut().push_back(Caller { number, progress, task: task.abort_handle() });
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Answers a call, whose body has to come until a time.
+    async fn answer(&self, request: Request<Incoming>, until: Instant) -> Response<Full<Bytes>> {
         match (request.uri().path(), request.method()) {
             ("/ready", &Method::GET) => self.ready(),
             ("/metrics", &Method::GET) => match self.handle.figures().await {
                 Some(figures) => reply(StatusCode::OK, "text/plain; charset=utf-8", figures),
                 None => refusal(StatusCode::INTERNAL_SERVER_ERROR, "the core has stopped"),
             },
-            ("/drain", &Method::POST) => self.order(Order::Drain).await,
-            ("/undrain", &Method::POST) => self.order(Order::Undrain).await,
-            ("/cache-hosts/disable", &Method::POST) => match host(request).await {
-                Ok(id) => self.order(Order::Disable(id)).await,
-                Err(no) => no,
-            },
-            ("/cache-hosts/enable", &Method::POST) => match host(request).await {
-                Ok(id) => self.order(Order::Enable(id)).await,
-                Err(no) => no,
-            },
             ("/fleet", &Method::GET) => self.look_at_fleet().await,
-            ("/fleet/calendar", &Method::POST) => match proposal(request).await {
-                Ok(proposal) => self.propose(proposal).await,
-                Err(no) => no,
-            },
+            (path, &Method::POST) if POSTED.contains(&path) => {
+                let path = path.to_owned();
+                self.carry_out(&path, request, until).await.unwrap_or_else(BadCall::answer)
+            }
             ("/ready" | "/metrics" | "/fleet", _) => wrong_method("GET"),
-            (
-                "/drain" | "/undrain" | "/cache-hosts/disable" | "/cache-hosts/enable" | "/fleet/calendar",
-                _,
-            ) => wrong_method("POST"),
+            (path, _) if POSTED.contains(&path) => wrong_method("POST"),
             _ => refusal(StatusCode::NOT_FOUND, "no such call"),
         }
     }
 
+    /// Carries out a call that changes something, once all of it has come.
+    async fn carry_out(
+        &self, path: &str, request: Request<Incoming>, until: Instant,
+    ) -> Result<Response<Full<Bytes>>, BadCall> {
+        let most = if path == CALENDAR { MOST_PROPOSAL } else { MOST_BODY };
+        let body = body(request, most, until).await?;
+        let order = match path {
+            CALENDAR => return Ok(self.propose(proposal(&body)?).await),
+            "/drain" => Order::Drain,
+            "/undrain" => Order::Undrain,
+            "/cache-hosts/disable" => Order::Disable(host(&body)?),
+            _ => Order::Enable(host(&body)?),
+        };
+        Ok(self.order(order).await)
+    }
+
     async fn order(&self, order: Order) -> Response<Full<Bytes>> {
         match self.handle.order(order).await {
             Ok(true) => reply(StatusCode::OK, JSON, json!({"done": true}).to_string()),
@@ -192,38 +219,34 @@
 }
 
 /// The proposal for the calendar that a call makes, with every field as it must be.
-async fn proposal(request: Request<Incoming>) -> Result<Proposal, Response<Full<Bytes>>> {
-    let bad = |why: String| refusal(StatusCode::BAD_REQUEST, &why);
-    let body = body(request, MOST_PROPOSAL).await?;
-    let proposal: Proposal = serde_json::from_slice(&body).map_err(|error| bad(error.to_string()))?;
-    proposal.validate().map_err(|error| {
-        let said = json!({"error": error.to_string(), "field": error.field});
-        reply(StatusCode::BAD_REQUEST, JSON, said.to_string())
-    })?;
-    Ok(proposal)
+fn proposal(body: &[u8]) -> Result<Proposal, BadCall> {
+    let proposal: Proposal =
+        serde_json::from_slice(body).map_err(|error| BadCall::Malformed(error.to_string()))?;
+    match proposal.validate() {
+        Ok(()) => Ok(proposal),
+        Err(error) => Err(BadCall::Field { why: error.to_string(), field: error.field.to_string() }),
+    }
 }
 
-/// A call's body, of at most so many bytes.
-async fn body(request: Request<Incoming>, most: usize) -> Result<Bytes, Response<Full<Bytes>>> {
-    match Limited::new(request.into_body(), most).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(refusal(StatusCode::PAYLOAD_TOO_LARGE, &format!("more than {most} bytes")))
-        }
-        Err(error) => Err(refusal(StatusCode::BAD_REQUEST, &error.to_string())),
+/// A call's body, of at most so many bytes, once all of it has come.
+async fn body(request: Request<Incoming>, most: usize, until: Instant) -> Result<Bytes, BadCall> {
+    match timeout_at(until, Limited::new(request.into_body(), most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadCall::TooLong(most)),
+        Ok(Err(error)) => Err(BadCall::Malformed(error.to_string())),
+        Err(_) => Err(BadCall::TooSlow),
     }
 }
 
 /// The cache host that a call names.
-async fn host(request: Request<Incoming>) -> Result<String, Response<Full<Bytes>>> {
+fn host(body: &[u8]) -> Result<String, BadCall> {
     #[derive(Deserialize)]
     struct Call {
         who: String,
     }
-    let body = body(request, MOST_BODY).await?;
-    match serde_json::from_slice::<Call>(&body) {
+    match serde_json::from_slice::<Call>(body) {
         Ok(call) => Ok(call.who),
-        Err(error) => Err(refusal(StatusCode::BAD_REQUEST, &format!("wanted {{\"who\":\"ID\"}}: {error}"))),
+        Err(error) => Err(BadCall::Malformed(format!("wanted {{\"who\":\"ID\"}}: {error}"))),
     }
 }
 
--- a/crates/spindlebeam/tests/operators.rs
+++ b/crates/spindlebeam/tests/operators.rs
@@ -2,9 +2,11 @@
 
 mod platform;
 use platform::*;
+use rstest::rstest;
 use serde_json::Value;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
 
 #[test]
 fn the_door_tells_yes_and_no_and_why() {
@@ -132,6 +134,54 @@
     assert_eq!(p.figure("cache_hosts_excluded"), 0);
 }
 
+/// What is wrong with a call to drain.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum BadCall {
+    HeadCutShort,
+    HeadStalls,
+    BodyCutShort,
+    BodyStalls,
+    BodyTooLong,
+    BodyInBadChunks,
+    NoHttp,
+    WrongMethod,
+}
+
+/// It is owed its 4xx within 1 s, and drains nothing.
+#[rstest]
+#[case(BadCall::HeadCutShort, "POST /drain HT", 400)]
+#[case(BadCall::HeadStalls, "POST /drain HTTP/1.1\r\nHost: x\r\n", 408)]
+#[case(BadCall::BodyCutShort, "POST /drain HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{\"a\"", 400)]
+#[case(BadCall::BodyStalls, "POST /drain HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{\"a\"", 408)]
+#[case(BadCall::BodyTooLong, "POST /drain HTTP/1.1\r\nHost: x\r\nContent-Length: 5000000\r\n\r\n", 413)]
+#[case(
+    BadCall::BodyInBadChunks,
+    "POST /drain HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    400
+)]
+#[case(BadCall::NoHttp, "\u{1}\u{2}drain\r\n\r\n", 400)]
+#[case(BadCall::WrongMethod, "PUT /drain HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405)]
+fn bad_call_to_drain_is_answered_in_time_and_drains_nothing(
+    #[case] bad: BadCall, #[case] call: &str, #[case] status: u16,
+) {
+    let p = Platform::with_door(1);
+    let mut stream = TcpStream::connect(p.balancer.door.unwrap()).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    stream.write_all(call.as_bytes()).unwrap();
+    if matches!(bad, BadCall::HeadCutShort | BadCall::BodyCutShort) {
+        stream.shutdown(Shutdown::Write).unwrap();
+    }
+    if bad == BadCall::BodyTooLong {
+        let _ = stream.write_all(&[b' '; 300_000]); // what lies unread as the answer is on its way resets none of it
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap_or_else(|error| panic!("{bad:?}: {error} behind {answer:?}"));
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{bad:?}: {answer:?}");
+    let mut client = p.balancer.client();
+    client.send(&["PING"]);
+    assert_eq!(client.answer(), "+PONG", "{bad:?}");
+}
+
 #[test]
 fn a_drain_answers_what_came_closes_all_and_ends_without_a_restart() {
     let p = Platform::with_door(1);
