Lose no order that two processes are given at once, or whose file cannot be read

Seen, while looking for a drain that was answered yes and is not in force: with an order at each of two processes of one balancer at the same moment, again and again, orders_given_to_both_processes_at_once_are_in_force_in_both fails on the program before ("not so within 20s"). A file of orders that could not be read (EISDIR in the test; EIO, EMFILE) was renamed aside, and a start went on at once without its orders. Behind one order promised by 202 on a still disk, all later ones were answered 202 though the disk refused them.

Root cause: OrderFile::save wrote over whatever the other process had written since the last look (order_file.rs, `save`), and the order that was written over had already left Keeping's memory. `poll` took each error of the system for a broken file. `promised` was one flag for all orders that were not written.

Ruled out: the look each 0.1 s and the merge of what it finds (both hold when one process writes at a time), half-written files (renamed whole).

A failed look is logged and made good by the next. Orders are numbered: what was promised stays, what was not is taken back, 500.

Tests: seen to fail by taking out the second look, the difference between errors, and the numbers, one after the other. Balancer::logged of the test platform began its time anew with each line, and so waited without end for a line that never comes; it is bounded now. Not changed: 202 while the disk stands still; the other process hears of such an order when the disk moves.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -19,13 +19,14 @@
 use decide::api::{Effect, Event, Micros, RequestId, Token};
 use decide::policy::Router;
 pub use handle::{Handle, Incoming, Ticket, Unheeded};
-use maintenance::{Keeping, Maintenance, Order, Orders, Verdict};
+use maintenance::{Keeping, Maintenance, Order, Orders, Verdict, WriteError};
 use orders::{FIRST_ORDERS, ORDERS, ORDERS_SEEN};
 use proto::discovery::{List, News};
 use rustc_hash::FxHashMap;
 use siblings::Talk;
 use std::collections::VecDeque;
 use std::future::poll_fn;
+use std::io;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -64,9 +65,9 @@
     Look(oneshot::Sender<String>),
     Order(Order, oneshot::Sender<Verdict>),
     /// What a look at the file of orders found.
-    Looked(Option<Orders>),
+    Looked(io::Result<Option<Orders>>),
     /// How a write of it ended.
-    Wrote(Result<(), String>),
+    Wrote(Result<(), WriteError>),
     Talk(Talk),
     /// Whether a planned change may be made.
     MayChange(interface::Kind, oneshot::Sender<Result<(), String>>),
@@ -117,6 +118,8 @@
     keeping: Keeping<oneshot::Sender<Verdict>>,
     /// Where orders are kept; nowhere where none can be given. Only threads of its own touch it.
     order_file: Option<Arc<Mutex<OrderFile>>>,
+    /// Whether the last look at that file failed.
+    unreadable_orders: bool,
     /// What a start waits for: a list, and the orders of the process before.
     awaits: Awaits,
     pools: Pools,
@@ -152,6 +155,7 @@
             keeping: Keeping::new(order_file.is_some()),
             awaits: Awaits { list: true, orders: order_file.is_some() },
             order_file,
+            unreadable_orders: false,
             router: Router::new(config.settings.clone(), config.seed, unix),
             handle: handle.clone(),
             inputs,
@@ -287,11 +291,7 @@
             Input::Order(order, done) => {
                 self.keeping.ordered(self.now() / 1_000, &mut self.maintenance, order, done);
             }
-            Input::Looked(news) => {
-                self.keeping.looked(self.now() / 1_000, &mut self.maintenance, news);
-                self.keep();
-                self.awaits.orders = false;
-            }
+            Input::Looked(looked) => self.looked(looked),
             Input::Wrote(written) => self.keeping.wrote(self.now() / 1_000, &mut self.maintenance, written),
             Input::News(News::Watching) => self.awaits.list = false,
             Input::News(News::Told(list)) => {
--- a/crates/gateway/src/engine/orders.rs
+++ b/crates/gateway/src/engine/orders.rs
@@ -4,8 +4,9 @@
 use super::{Engine, Input};
 use crate::order_file::OrderFile;
 use decide::api::Event;
-use maintenance::{Change, Step, Verdict};
+use maintenance::{Change, Orders, Step, Verdict};
 use proto::discovery::List;
+use std::io;
 use std::sync::PoisonError;
 use std::time::Duration;
 use tokio::task::spawn_blocking;
@@ -45,9 +46,7 @@
             match step {
                 Step::Look => self.on_file(OrderFile::poll, Input::Looked),
                 Step::Write(orders) => {
-                    let save =
-                        move |file: &mut OrderFile| file.save(&orders).map_err(|error| error.to_string());
-                    self.on_file(save, Input::Wrote);
+                    self.on_file(move |file| file.save(&orders), Input::Wrote);
                 }
                 Step::Changed(change, hosts) => {
                     match change {
@@ -75,6 +74,28 @@
         }
     }
 
+    /// Takes in a look at the file. One that failed is made good by the next: a start goes on waiting meanwhile.
+    pub(super) fn looked(&mut self, looked: io::Result<Option<Orders>>) {
+        let found = match looked {
+            Ok(found) => {
+                self.unreadable_orders = false;
+                Some(found)
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.unreadable_orders, true) {
+                    log::error!("orders: {ORDERS} cannot be read: {error}; tried again");
+                }
+                None
+            }
+        };
+        let was_read = found.is_some();
+        self.keeping.looked(self.now() / 1_000, &mut self.maintenance, found.flatten());
+        self.keep();
+        if was_read {
+            self.awaits.orders = false;
+        }
+    }
+
     /// Does something with the file of orders on a thread of its own: the disk may stand still for seconds.
     fn on_file<T: Send + 'static>(
         &self, work: impl FnOnce(&mut OrderFile) -> T + Send + 'static,
--- a/crates/maintenance/src/keeping.rs
+++ b/crates/maintenance/src/keeping.rs
@@ -3,6 +3,8 @@
 
 use crate::{Maintenance, Millis, Order, OrderError, Orders};
 use std::collections::VecDeque;
+use std::io;
+use thiserror::Error;
 
 /// How long an order waits for a look at what the other process of this balancer was ordered, which it must not write over.
 /// It is due in force within a second.
@@ -36,6 +38,23 @@
     TakenBack,
 }
 
+/// Why orders were not written; the file holds what it held.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum WriteError {
+    /// Another process of this balancer has written others since the last look.
+    #[error("another process has written other orders")]
+    Changed(Orders),
+    /// The system says no.
+    #[error("{0}")]
+    Failed(String),
+}
+
+impl From<io::Error> for WriteError {
+    fn from(error: io::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
 /// What a caller is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
@@ -62,6 +81,22 @@
 /// what is lost of the first is only that they are not carried out again over orders of the other process.
 const MOST_REMEMBERED: usize = 256;
 
+/// An order in force that is not written.
+#[derive(Debug)]
+struct Unwritten {
+    number: u64,
+    at: Millis,
+    order: Order,
+}
+
+/// A caller who waits until all orders up to a number are written.
+#[derive(Debug)]
+struct Waiting<T> {
+    number: u64,
+    since: Millis,
+    who: T,
+}
+
 /// Orders on their way between callers, the balancer and the file. At most one operation on the file is under way.
 ///
 /// The calls it holds are as many as its owner lets in at a time.
@@ -73,13 +108,15 @@
     /// Calls that wait for a look.
     asked: VecDeque<(Millis, Order, T)>,
     /// Calls whose orders are in force, and wait to be written.
-    unwritten: VecDeque<(Millis, T)>,
+    unwritten: VecDeque<Waiting<T>>,
     /// What was ordered and is not written: carried out again over what the other process has written meanwhile.
-    remembered: VecDeque<(Millis, Order)>,
+    remembered: VecDeque<Unwritten>,
+    /// The number of the last order that was remembered.
+    number: u64,
     /// Whether the orders in force differ from what was last given to be written.
     dirty: bool,
-    /// Whether a caller was told that an order is in force which has not been written: it is not taken back.
-    promised: bool,
+    /// Callers were told that the orders up to this number are in force though they may not be written: none is taken back.
+    promised: u64,
     /// What the file holds, and what is written to it now.
     kept: Orders,
     writing: Orders,
@@ -97,8 +134,9 @@
             asked: VecDeque::new(),
             unwritten: VecDeque::new(),
             remembered: VecDeque::new(),
+            number: 0,
             dirty: false,
-            promised: false,
+            promised: 0,
             kept: Orders::default(),
             writing: Orders::default(),
             not_before: 0,
@@ -121,15 +159,8 @@
     pub fn looked(&mut self, now: Millis, maintenance: &mut Maintenance, news: Option<Orders>) {
         let Under::Look(before) = std::mem::replace(&mut self.under, Under::Nothing) else { return };
         if let Some(news) = news {
-            self.kept = news.clone();
-            let ours = maintenance.orders().clone();
-            maintenance.adopt(news);
-            for (at, order) in &self.remembered {
-                // One that cannot be carried out now was when it was ordered: its host has left since.
-                let _ = maintenance.carry_out(*at, order);
-            }
-            let hosts = maintenance.changed_since(&ours);
-            self.steps.push_back(Step::Changed(Change::Found, hosts));
+            self.kept = news;
+            self.rebuild(maintenance, Change::Found);
         }
         for _ in 0..before {
             self.carry_out_first(now, maintenance);
@@ -137,33 +168,55 @@
         self.go_on(now, maintenance);
     }
 
-    /// Takes in the end of a write; `Err` has the reason why the file holds what it held before.
-    pub fn wrote(&mut self, now: Millis, maintenance: &mut Maintenance, written: Result<(), String>) {
+    /// Takes in the end of a write.
+    pub fn wrote(&mut self, now: Millis, maintenance: &mut Maintenance, written: Result<(), WriteError>) {
         let Under::Write(callers, orders) = std::mem::replace(&mut self.under, Under::Nothing) else {
             return;
         };
         match written {
             Ok(()) => {
                 self.kept = std::mem::take(&mut self.writing);
-                self.promised &= self.dirty;
                 self.remembered.drain(..orders.min(self.remembered.len()));
                 self.answer_first(if self.dirty { callers } else { self.unwritten.len() }, &Verdict::Kept);
             }
-            Err(why) if !self.promised => {
-                self.dirty = false;
-                self.remembered.clear();
-                let hosts = maintenance.adopt(self.kept.clone());
-                self.steps.push_back(Step::Changed(Change::TakenBack, hosts));
-                self.answer_first(self.unwritten.len(), &Verdict::NotKept(why));
-            }
-            Err(_) => {
-                (self.dirty, self.not_before) = (true, now + RETRY);
-                self.answer_first(self.unwritten.len(), &Verdict::InForce);
+            Err(WriteError::Changed(news)) => {
+                self.kept = news;
+                self.rebuild(maintenance, Change::Found);
+                self.dirty = true;
             }
+            Err(WriteError::Failed(why)) => self.write_failed(now, maintenance, &why),
         }
         self.go_on(now, maintenance);
     }
 
+    /// Takes back what nobody was told is in force; what is left is written later.
+    fn write_failed(&mut self, now: Millis, maintenance: &mut Maintenance, why: &str) {
+        let before = self.remembered.len();
+        self.remembered.retain(|order| order.number <= self.promised);
+        if self.remembered.len() < before {
+            self.rebuild(maintenance, Change::TakenBack);
+        }
+        self.dirty = !self.remembered.is_empty();
+        self.not_before = now + RETRY;
+        for waiting in std::mem::take(&mut self.unwritten) {
+            let promised = waiting.number <= self.promised;
+            let verdict = if promised { Verdict::InForce } else { Verdict::NotKept(why.to_owned()) };
+            self.steps.push_back(Step::Answer(waiting.who, verdict));
+        }
+    }
+
+    /// Puts in force what the file holds and, over it, what was ordered and is not written.
+    fn rebuild(&mut self, maintenance: &mut Maintenance, change: Change) {
+        let ours = maintenance.orders().clone();
+        maintenance.adopt(self.kept.clone());
+        for it in &self.remembered {
+            // One that cannot be carried out now was when it was ordered: its host has left since.
+            let _ = maintenance.carry_out(it.at, &it.order);
+        }
+        let hosts = maintenance.changed_since(&ours);
+        self.steps.push_back(Step::Changed(change, hosts));
+    }
+
     /// Lets time pass: to be called about ten times a second. Looks at the file where nothing else is to be done.
     pub fn tick(&mut self, now: Millis, maintenance: &mut Maintenance) {
         while self.asked.front().is_some_and(|(since, ..)| now >= since + LOOK_TIME) {
@@ -172,9 +225,9 @@
                 *before = before.saturating_sub(1);
             }
         }
-        let late = self.unwritten.iter().take_while(|(since, _)| now >= since + ANSWER_TIME).count();
-        if late > 0 {
-            self.promised = true;
+        let late = self.unwritten.iter().take_while(|it| now >= it.since + ANSWER_TIME).count();
+        if let Some(last) = late.checked_sub(1).and_then(|at| self.unwritten.get(at)) {
+            self.promised = last.number;
             self.answer_first(late, &Verdict::InForce);
             if let Under::Write(callers, _) = &mut self.under {
                 *callers = callers.saturating_sub(late);
@@ -223,7 +276,12 @@
             Ok(hosts) => {
                 if *maintenance.orders() != before {
                     self.dirty = true;
-                    self.remembered.push_back((now, order.clone()));
+                    self.number += 1;
+                    self.remembered.push_back(Unwritten {
+                        number: self.number,
+                        at: now,
+                        order: order.clone(),
+                    });
                     if self.remembered.len() > MOST_REMEMBERED {
                         self.remembered.pop_front();
                         if let Under::Write(_, orders) = &mut self.under {
@@ -234,7 +292,7 @@
                 self.steps.push_back(Step::Changed(Change::Ordered(order), hosts));
                 // One that changes nothing is kept already, unless what it repeats is still to be written.
                 if self.dirty || matches!(self.under, Under::Write(..)) {
-                    self.unwritten.push_back((since, who));
+                    self.unwritten.push_back(Waiting { number: self.number, since, who });
                 } else {
                     self.steps.push_back(Step::Answer(who, Verdict::Kept));
                 }
@@ -244,6 +302,6 @@
 
     fn answer_first(&mut self, count: usize, verdict: &Verdict) {
         let answers = self.unwritten.drain(..count.min(self.unwritten.len()));
-        self.steps.extend(answers.map(|(_, who)| Step::Answer(who, verdict.clone())));
+        self.steps.extend(answers.map(|it| Step::Answer(it.who, verdict.clone())));
     }
 }
--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -9,7 +9,7 @@
 mod keeping;
 mod orders;
 
-pub use keeping::{Change, Keeping, Step, Verdict};
+pub use keeping::{Change, Keeping, Step, Verdict, WriteError};
 pub use orders::{Order, OrderError, Orders, UnreadableOrders};
 
 use hashlink::LruCache;
--- a/crates/maintenance/tests/keeping.rs
+++ b/crates/maintenance/tests/keeping.rs
@@ -1,6 +1,6 @@
 //! Orders on their way to a disk that may stand still: time and the disk are what the tests say.
 
-use maintenance::{Change, Keeping, Maintenance, Order, OrderError, Orders, Step, Verdict};
+use maintenance::{Change, Keeping, Maintenance, Order, OrderError, Orders, Step, Verdict, WriteError};
 use proto::discovery::list;
 use serde_json::json;
 
@@ -31,6 +31,9 @@
         self.steps()
     }
     fn wrote(&mut self, written: Result<(), String>) -> Vec<Step<u32>> {
+        self.wrote_or(written.map_err(WriteError::Failed))
+    }
+    fn wrote_or(&mut self, written: Result<(), WriteError>) -> Vec<Step<u32>> {
         self.keeping.wrote(self.now, &mut self.maintenance, written);
         self.steps()
     }
@@ -124,6 +127,41 @@
     assert!(matches!(&found[1], Step::Write(both) if both.is_out("a") && both.is_out("b")), "{found:?}");
 }
 
+/// Both processes look, then each writes: who comes second finds the other's orders in the file, and writes both.
+#[test]
+fn what_the_other_process_wrote_since_the_look_is_not_written_over() {
+    let mut rig = Rig::new();
+    rig.ordered(Order::Drain, 1);
+    assert!(matches!(rig.looked(None).last(), Some(Step::Write(_))));
+    let mut other = Rig::new();
+    other.ordered(out("b"), 9);
+    other.looked(None);
+    let changed = Err(WriteError::Changed(other.maintenance.orders().clone()));
+    let again = rig.wrote_or(changed);
+    assert_eq!(again[0], Step::Changed(Change::Found, vec!["b".into()]));
+    assert!(matches!(&again[1], Step::Write(both) if both.draining() && both.is_out("b")), "{again:?}");
+    assert_eq!(again.len(), 2, "the caller waits for that write");
+    assert_eq!(rig.wrote(Ok(())), [Step::Answer(1, Verdict::Kept)]);
+}
+
+/// One order is promised, on a disk that stood still; the next, behind it, meets a disk that is full.
+#[test]
+fn an_order_that_cannot_be_written_is_taken_back_also_behind_one_that_was_promised() {
+    let mut rig = Rig::new();
+    rig.ordered(out("a"), 1);
+    rig.pass(200);
+    assert_eq!(rig.pass(500), [Step::Answer(1, Verdict::InForce)]);
+    rig.looked(None);
+    rig.ordered(Order::Drain, 2);
+    rig.ordered(out("a"), 3); // in force already, and promised
+    rig.pass(200);
+    assert!(rig.maintenance.orders().draining());
+    let steps = rig.wrote(Err("no space".into()));
+    assert_eq!(steps[0], Step::Changed(Change::TakenBack, vec![]));
+    assert!(steps.contains(&Step::Answer(2, Verdict::NotKept("no space".into()))), "{steps:?}");
+    assert_eq!((rig.out(), rig.maintenance.orders().draining()), ([true, false], false));
+}
+
 #[test]
 fn without_a_file_orders_are_in_force_at_once() {
     let mut rig = Rig { keeping: Keeping::new(false), ..Rig::new() };
--- a/crates/spindlebeam/tests/operators.rs
+++ b/crates/spindlebeam/tests/operators.rs
@@ -291,6 +291,35 @@
     assert_eq!(client.answer(), "+PONG");
 }
 
+/// Two processes of one balancer are given an order each at the same moment, again and again: all are in force in both.
+#[test]
+fn orders_given_to_both_processes_at_once_are_in_force_in_both() {
+    let peers = [(); 2].map(|()| Peer::start(false));
+    let members = [0, 1].map(|n| member(&format!("s-{n}"), peers[n].addr, "ready"));
+    let discovery = Discovery::start(list(1, true, &members));
+    let mut config = config(discovery.addr, 1024, Value::Null);
+    config["operator"] = "127.0.0.1:0".into();
+    let home = Home::new();
+    let both = [(); 2].map(|()| {
+        let process = Balancer::start_at(&home, &config);
+        process.logged("accepting from the inherited socket");
+        process
+    });
+    let doors = [0, 1].map(|n| both[n].door.unwrap());
+    for _ in 0..20 {
+        for (path, excluded) in [("/cache-hosts/disable", 2), ("/cache-hosts/enable", 0)] {
+            std::thread::scope(|scope| {
+                for (door, host) in doors.into_iter().zip(["s-0", "s-1"]) {
+                    let body = format!("{{\"who\":\"{host}\"}}");
+                    scope.spawn(move || assert_eq!(call(door, "POST", path, &body).0, 200));
+                }
+            });
+            let line = format!("balancer.cache_hosts_excluded:{excluded}|g");
+            wait_until(|| doors.iter().all(|door| call(*door, "GET", "/metrics", "").1.contains(&line)));
+        }
+    }
+}
+
 #[test]
 fn a_disk_that_stands_still_stops_neither_traffic_nor_the_door() {
     let p = Platform::with_door(2);
@@ -340,3 +369,28 @@
         assert_eq!(client.answer(), "v");
     }
 }
+
+/// The new process cannot read the file of orders at first: it waits, and then knows of the drain.
+#[test]
+fn a_start_waits_for_orders_that_cannot_be_read_as_yet() {
+    let peer = Peer::start(false);
+    let discovery = Discovery::start(list(1, true, &[member("s-0", peer.addr, "ready")]));
+    let mut config = config(discovery.addr, 1024, Value::Null);
+    config["operator"] = "127.0.0.1:0".into();
+    let home = Home::new();
+    let file = home.folder.join("spindlebeam-orders.json");
+    std::fs::create_dir(&file).unwrap(); // a read of it fails
+    let balancer = Balancer::start_at(&home, &config);
+    balancer.logged("cannot be read");
+    let (status, why) = call(balancer.door.unwrap(), "GET", "/ready", "");
+    assert!(status == 503 && why.contains("what was ordered before"), "{status} {why}");
+    std::fs::remove_dir(&file).unwrap();
+    let new = file.with_extension("new");
+    std::fs::write(&new, r#"{"version":1,"out":{},"back":{},"draining":true}"#).unwrap();
+    std::fs::rename(&new, &file).unwrap(); // whole at once: a part of it would be put aside
+    balancer.logged("draining");
+    balancer.logged("accepting from the inherited socket");
+    let mut client = home.client();
+    client.send(&["PING"]);
+    assert_eq!(client.answer(), "-DRAINING");
+}
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -362,10 +362,12 @@
         it.door = config["operator"].as_str().map(|_| addr(it.logged("operators call at ")));
         it
     }
-    /// Waits for a line of the log.
+    /// Waits for a line of the log; lines before it are passed over, and count for the time.
     pub fn logged(&self, part: &str) -> String {
+        let until = Instant::now() + PATIENCE;
         loop {
-            let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no line with {part:?}"));
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no line with {part:?}"));
             if line.contains(part) {
                 return line;
             }
