--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -1,17 +1,17 @@
 //! One client connection: commands in, answers out in the order of the commands.
 
-mod parting;
+mod closing;
+mod commands;
 
 use crate::Front;
-use crate::request::{self, Asked};
 use crate::shutdown::{Activity, Schedule, Stage};
 use admission::{ConnectionId, Patience};
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
+use closing::{Heard, hear, left, write};
 use futures_util::FutureExt;
 use gateway::engine::Ticket;
 use gateway::{Answer, Held, Streamed};
-use parting::{Heard, hear, left, write};
-use proto::{ProtoError, resp};
+use proto::resp;
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -24,9 +24,6 @@
 const MOST_WAITING: usize = 32;
 /// Bytes of answers that are gathered before they are written.
 const MOST_GATHERED: usize = 256 * 1024;
-/// How long a large value may take to come, from its length on; meanwhile it must go on coming. Bounds how long one client
-/// holds a part of the room for values.
-const LARGE_VALUE_TIME: Duration = Duration::from_secs(30);
 
 /// Refuses a request with the promise that it has had no effect.
 const REFUSED: &str = "-BUSY\r\n";
@@ -296,113 +293,6 @@
         write(&self.stream, b"\r\n").await
     }
 
-    /// Something has been read.
-    fn came(&mut self) {
-        if self.value_until.is_some() {
-            self.awaited_since = Some(Instant::now()); // a value that goes on coming is waited for
-        }
-        if self.skip > 0 {
-            let skipped = self.skip.min(self.input.len());
-            self.input.advance(skipped);
-            self.skip -= skipped;
-            if self.skip == 0 {
-                (self.awaited_since, self.value_until) = (None, None);
-            }
-        }
-        self.parse();
-    }
-
-    /// Looks at a command that is not whole: one whose value is large needs room before it is read on. An answer, if the
-    /// command has come to its end by it.
-    fn unfinished(&mut self) -> Option<Reply> {
-        if self.input.is_empty() || self.room.is_some() || self.skip > 0 {
-            return None;
-        }
-        self.awaited_since.get_or_insert_with(Instant::now);
-        let unfinished = match resp::unfinished(&self.input) {
-            Ok(found) => found?,
-            Err(error) => return Some(self.malformed(error)),
-        };
-        let time = if unfinished.large { LARGE_VALUE_TIME } else { self.patience };
-        self.value_until.get_or_insert_with(|| Instant::now() + time);
-        if !unfinished.large {
-            return None;
-        }
-        let mut command = unfinished.words;
-        command.0.push(Bytes::new()); // in place of the value, so that it can be read
-        let Asked::Request(incoming) = request::read(&command, &self.front.names) else {
-            return Some(self.malformed(ProtoError::TooLong("command"))); // no other has a large word
-        };
-        let missing = unfinished.bytes.saturating_sub(self.input.len());
-        self.room = self.front.handle.hold(unfinished.bytes);
-        if self.room.is_some() {
-            self.input.reserve(missing);
-            return None;
-        }
-        self.front.handle.no_room(incoming.class);
-        self.input.clear();
-        self.skip = missing;
-        Some(line(REFUSED))
-    }
-
-    fn malformed(&mut self, error: ProtoError) -> Reply {
-        if let Some(more) = self.front.malformed.line() {
-            log::info!("client {}: {error}{more}", self.id.0);
-        }
-        self.ending = true;
-        line(&format!("-ERR {error}\r\n"))
-    }
-
-    /// Reads the commands that are whole, as far as there are places for their answers.
-    fn parse(&mut self) {
-        let stage = self.schedule().stage_now();
-        while !self.ending && self.replies.len() < MOST_WAITING {
-            let found = match self.room {
-                Some(_) => resp::next_large_command(&mut self.input),
-                None => resp::next_command(&mut self.input),
-            };
-            let room = if let Ok(Some(_)) = found {
-                (self.awaited_since, self.value_until) = (None, None);
-                self.tell(Told::Busy);
-                self.room.take()
-            } else {
-                None
-            };
-            let reply = match found {
-                Ok(None) => match self.unfinished() {
-                    Some(reply) => reply,
-                    None => return,
-                },
-                Ok(Some(command)) => match request::read(&command, &self.front.names) {
-                    Asked::Request(incoming) if stage >= Stage::Shedding => {
-                        self.front.handle.shed(incoming.class);
-                        line(REFUSED)
-                    }
-                    Asked::Request(mut incoming) => {
-                        incoming.held = room;
-                        match self.front.handle.submit(incoming) {
-                            Some(ticket) => Reply::Later(ticket),
-                            None => line("-ERR a request with this id is open\r\n"),
-                        }
-                    }
-                    // Any other answer than yes sends clients elsewhere.
-                    Asked::Ping if self.front.shutdown.get().is_draining() => line("-DRAINING\r\n"),
-                    Asked::Ping if self.front.handle.ready() => line("+PONG\r\n"),
-                    Asked::Ping if self.front.handle.fenced() => line("-LOADING fenced\r\n"),
-                    Asked::Ping => line("-LOADING the list of peers has not come yet\r\n"),
-                    Asked::Ok => line("+OK\r\n"),
-                    Asked::Quit => {
-                        self.ending = true;
-                        line("+OK\r\n")
-                    }
-                    Asked::Refused(why) => line(&format!("-ERR {why}\r\n")),
-                },
-                Err(error) => self.malformed(error),
-            };
-            self.replies.push_back(reply);
-        }
-    }
-
     /// Tells the places what this connection does, where it has changed.
     fn tell(&mut self, told: Told) {
         if std::mem::replace(&mut self.told, told) == told {
--- /dev/null
+++ b/crates/front/src/client/commands.rs
@@ -0,0 +1,138 @@
+//! From the bytes of a client to commands, and from a command to its reply.
+
+use super::{Client, MOST_WAITING, REFUSED, Reply, Told, line};
+use crate::request::{self, Asked};
+use crate::shutdown::Stage;
+use bytes::{Buf, Bytes};
+use gateway::Held;
+use proto::resp::Command;
+use proto::{ProtoError, resp};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a large value may take to come, from its length on; meanwhile it must go on coming. Bounds how long one client
+/// holds a part of the room for values.
+const LARGE_VALUE_TIME: Duration = Duration::from_secs(30);
+
+impl Client {
+    /// Something has been read.
+    pub(super) fn came(&mut self) {
+        if self.value_until.is_some() {
+            self.awaited_since = Some(Instant::now()); // a value that goes on coming is waited for
+        }
+        if self.skip > 0 {
+            let skipped = self.skip.min(self.input.len());
+            self.input.advance(skipped);
+            self.skip -= skipped;
+            if self.skip == 0 {
+                (self.awaited_since, self.value_until) = (None, None);
+            }
+        }
+        self.parse();
+    }
+
+    /// Looks at a command that is not whole: one whose value is large needs room before it is read on. An answer, if the
+    /// command has come to its end by it.
+    fn unfinished(&mut self) -> Option<Reply> {
+        if self.input.is_empty() || self.room.is_some() || self.skip > 0 {
+            return None;
+        }
+        self.awaited_since.get_or_insert_with(Instant::now);
+        let unfinished = match resp::unfinished(&self.input) {
+            Ok(found) => found?,
+            Err(error) => return Some(self.malformed(error)),
+        };
+        let time = if unfinished.large { LARGE_VALUE_TIME } else { self.patience };
+        self.value_until.get_or_insert_with(|| Instant::now() + time);
+        if !unfinished.large {
+            return None;
+        }
+        let mut command = unfinished.words;
+        command.0.push(Bytes::new()); // in place of the value, so that it can be read
+        let Asked::Request(incoming) = request::read(&command, &self.front.names) else {
+            return Some(self.malformed(ProtoError::TooLong("command"))); // no other has a large word
+        };
+        let missing = unfinished.bytes.saturating_sub(self.input.len());
+        self.room = self.front.handle.hold(unfinished.bytes);
+        if self.room.is_some() {
+            self.input.reserve(missing);
+            return None;
+        }
+        self.front.handle.no_room(incoming.class);
+        self.input.clear();
+        self.skip = missing;
+        Some(line(REFUSED))
+    }
+
+    fn malformed(&mut self, error: ProtoError) -> Reply {
+        if let Some(more) = self.front.malformed.line() {
+            log::info!("client {}: {error}{more}", self.id.0);
+        }
+        self.ending = true;
+        line(&format!("-ERR {error}\r\n"))
+    }
+
+    /// Reads the commands that are whole, as far as there are places for their answers.
+    pub(super) fn parse(&mut self) {
+        let stage = self.schedule().stage_now();
+        while !self.ending && self.replies.len() < MOST_WAITING {
+            let found = match self.room {
+                Some(_) => resp::next_large_command(&mut self.input),
+                None => resp::next_command(&mut self.input),
+            };
+            let room = if let Ok(Some(_)) = found {
+                (self.awaited_since, self.value_until) = (None, None);
+                self.tell(Told::Busy);
+                self.room.take()
+            } else {
+                None
+            };
+            let reply = match found {
+                Ok(None) => match self.unfinished() {
+                    Some(reply) => reply,
+                    None => return,
+                },
+                Ok(Some(command)) => self.reply_to(&command, room, stage),
+                Err(error) => self.malformed(error),
+            };
+            self.replies.push_back(reply);
+        }
+    }
+
+    fn reply_to(&mut self, command: &Command, room: Option<Held>, stage: Stage) -> Reply {
+        match request::read(command, &self.front.names) {
+            Asked::Request(incoming) if stage >= Stage::Shedding => {
+                self.front.handle.shed(incoming.class);
+                line(REFUSED)
+            }
+            Asked::Request(mut incoming) => {
+                incoming.held = room;
+                match self.front.handle.submit(incoming) {
+                    Some(ticket) => Reply::Later(ticket),
+                    None => line("-ERR a request with this id is open\r\n"),
+                }
+            }
+            Asked::Ping => line(self.answer_to_ping()),
+            Asked::Ok => line("+OK\r\n"),
+            Asked::Quit => {
+                self.ending = true;
+                line("+OK\r\n")
+            }
+            Asked::Refused(why) => line(&format!("-ERR {why}\r\n")),
+        }
+    }
+
+    /// Any other answer than yes sends clients elsewhere.
+    fn answer_to_ping(&self) -> &'static str {
+        let handle = &self.front.handle;
+        if self.front.shutdown.get().is_draining() {
+            "-DRAINING\r\n"
+        } else if handle.ready() {
+            "+PONG\r\n"
+        } else if handle.fenced() {
+            "-LOADING fenced\r\n"
+        } else {
+            "-LOADING the list of peers has not come yet\r\n"
+        }
+    }
+}
