Look at the socket once more before a command's head or a rest counts as overdue

Seen by reading the new client loop: a deadline that has passed was acted on ahead of the socket. A process that was held up could have answered a command whose rest had come meanwhile with an error. Since; the loop before it read first, and looked at a timer only when nothing came, which let a client that sends without a pause keep all its timers from running.

Both hold now: a rest and a command's head are looked at once more (heads are bounded in bytes), a large value's time is not.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -37,8 +37,12 @@
 /// What a connection is to do next.
 enum Next {
     GoOn,
-    /// It is to close, unless a command has come.
-    Close,
+    /// It gives its slot to another, unless a command has come.
+    GiveWay,
+    /// Its time to rest, or that of a command's head, is over, unless more has come meanwhile.
+    Overdue,
+    /// The time of a large value is over.
+    Expired,
 }
 
 /// What the places were last told of a connection.
@@ -160,10 +164,13 @@
                 self.fail_the_rest();
                 continue;
             }
-            if let Next::Close = self.next_event(&schedule, stage).await?
-                && self.nothing_came().await?
-            {
-                return self.part().await;
+            match self.next_event(&schedule, stage).await? {
+                Next::GoOn => {}
+                Next::Expired => self.end_unfinished(),
+                // Guards a request that arrived as the connection was about to close: it has been taken.
+                Next::GiveWay | Next::Overdue if !self.nothing_came().await? => {}
+                Next::Overdue if self.has_unfinished() => self.end_unfinished(),
+                Next::GiveWay | Next::Overdue => return self.part().await,
             }
             if self.gone {
                 return Ok(());
@@ -171,6 +178,17 @@
         }
     }
 
+    /// Whether part of a command has come.
+    fn has_unfinished(&self) -> bool {
+        !self.input.is_empty() || self.skip > 0
+    }
+
+    /// Ends the connection with an error behind what is owed: the rest of a command did not come in time.
+    fn end_unfinished(&mut self) {
+        self.ending = true;
+        self.replies.push_back(line("-ERR the command did not end in time\r\n"));
+    }
+
     /// Waits for what comes next, and takes it in.
     async fn next_event(&mut self, schedule: &Schedule, stage: Stage) -> io::Result<Next> {
         let at_rest = self.replies.is_empty();
@@ -178,14 +196,15 @@
             self.tell(if self.awaited_since.is_some() { Told::Awaits } else { Told::Idle });
         }
         let may_read = !self.ending && self.replies.len() < MOST_WAITING && stage < Stage::Finishing;
-        let idle = at_rest && self.input.is_empty() && self.skip == 0;
+        let idle = at_rest && !self.has_unfinished();
         let patience = self.awaited_since.filter(|_| may_read).map(|since| since + self.patience);
         let value_until = self.value_until.filter(|_| may_read);
         let idle_until = schedule.idle.filter(|_| idle);
         let deadline = patience.into_iter().chain(value_until).chain(idle_until).min();
         // Ahead of the socket, of which there may always be more to read.
-        if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
-            return Ok(self.overdue());
+        if let Some(deadline) = deadline.filter(|deadline| *deadline <= Instant::now()) {
+            let expired = value_until.is_some_and(|until| until <= deadline);
+            return Ok(if expired { Next::Expired } else { Next::Overdue });
         }
         let wakes = deadline.into_iter().chain(schedule.next_stage(stage)).min();
         tokio::select! {
@@ -201,7 +220,7 @@
             },
             () = self.door.notified(), if at_rest => {
                 let closing = self.front.places.borrow().is_closing(self.id);
-                return Ok(if closing { Next::Close } else { Next::GoOn });
+                return Ok(if closing { Next::GiveWay } else { Next::GoOn });
             }
             () = self.front.shutdown_changed.notified() => {}
             () = sleep_until(wakes.unwrap_or(self.opened)), if wakes.is_some() => {}
@@ -209,16 +228,6 @@
         Ok(Next::GoOn)
     }
 
-    /// The time for something has come: for the rest of a command, or for a connection at rest to close.
-    fn overdue(&mut self) -> Next {
-        if self.input.is_empty() && self.skip == 0 {
-            return Next::Close;
-        }
-        self.ending = true;
-        self.replies.push_back(line("-ERR the command did not end in time\r\n"));
-        Next::GoOn
-    }
-
     fn schedule(&self) -> Schedule {
         let has_asked = self.told != Told::Awaits;
         let activity = Activity { opened: self.opened, has_asked, answered_at: self.answered_at };
