--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -7,7 +7,7 @@
 use crate::shutdown::{Activity, Schedule, Stage};
 use admission::{ConnectionId, Patience};
 use bytes::{BufMut, BytesMut};
-use closing::{Heard, hear, left, write};
+use closing::{ClientEvent, client_left, read_or_watch, write};
 use futures_util::FutureExt;
 use gateway::engine::Ticket;
 use gateway::{Answer, Held, Streamed};
@@ -45,9 +45,9 @@
     Expired,
 }
 
-/// What the places were last told of a connection.
+/// What the places were last notified of for a connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Told {
+enum SlotState {
     Awaits,
     Busy,
     Idle,
@@ -74,8 +74,8 @@
     room: Option<Held>,
     /// Bytes still to come of a large value for which there was no room: read and thrown away.
     skip: usize,
-    door: Rc<Notify>,
-    told: Told,
+    close_signal: Rc<Notify>,
+    slot_state: SlotState,
     opened: Instant,
     /// When the last request was answered, if any was.
     answered_at: Option<Instant>,
@@ -87,7 +87,7 @@
     Reply::Now(BytesMut::from(text.as_bytes()))
 }
 
-fn worded(answer: Answer) -> Reply {
+fn encode(answer: Answer) -> Reply {
     let mut out = BytesMut::new();
     match answer {
         Answer::Served(value) => resp::put_bulk(&mut out, &value),
@@ -109,7 +109,7 @@
 impl Client {
     /// A connection that was just accepted.
     pub(crate) fn new(
-        front: Rc<Front>, stream: TcpStream, id: ConnectionId, door: Rc<Notify>, patience: Patience,
+        front: Rc<Front>, stream: TcpStream, id: ConnectionId, close_signal: Rc<Notify>, patience: Patience,
     ) -> Self {
         Self {
             front,
@@ -124,8 +124,8 @@
             value_until: None,
             room: None,
             skip: 0,
-            door,
-            told: Told::Awaits,
+            close_signal,
+            slot_state: SlotState::Awaits,
             opened: Instant::now(),
             answered_at: None,
             written_at: None,
@@ -145,12 +145,12 @@
                 continue;
             }
             if let Some(Reply::Streamed(_)) = self.replies.front() {
-                self.pass_on().await?;
+                self.stream_answer().await?;
                 self.written_at = Some(Instant::now());
                 continue;
             }
             if self.ending && self.replies.is_empty() {
-                return self.linger().await;
+                return self.lingering_close().await;
             }
             let schedule = self.schedule();
             let stage = schedule.stage_now();
@@ -158,19 +158,19 @@
                 continue;
             }
             if stage >= Stage::Finishing && self.replies.is_empty() {
-                return self.part().await;
+                return self.close_between_requests().await;
             }
             if stage == Stage::Failing {
-                self.fail_the_rest();
+                self.fail_owed_answers();
                 continue;
             }
             match self.next_event(&schedule, stage).await? {
                 Next::GoOn => {}
                 Next::Expired => self.end_unfinished(),
                 // Guards a request that arrived as the connection was about to close: it has been taken.
-                Next::GiveWay | Next::Overdue if !self.nothing_came().await? => {}
+                Next::GiveWay | Next::Overdue if !self.nothing_more_came().await? => {}
                 Next::Overdue if self.has_unfinished() => self.end_unfinished(),
-                Next::GiveWay | Next::Overdue => return self.part().await,
+                Next::GiveWay | Next::Overdue => return self.close_between_requests().await,
             }
             if self.gone {
                 return Ok(());
@@ -193,7 +193,7 @@
     async fn next_event(&mut self, schedule: &Schedule, stage: Stage) -> io::Result<Next> {
         let at_rest = self.replies.is_empty();
         if at_rest {
-            self.tell(if self.awaited_since.is_some() { Told::Awaits } else { Told::Idle });
+            self.notify_slots(if self.awaited_since.is_some() { SlotState::Awaits } else { SlotState::Idle });
         }
         let may_read = !self.ending && self.replies.len() < MOST_WAITING && stage < Stage::Finishing;
         let idle = at_rest && !self.has_unfinished();
@@ -210,15 +210,15 @@
         tokio::select! {
             biased;
             answer = next_answer(&mut self.replies) => {
-                self.replies[0] = worded(answer);
+                self.replies[0] = encode(answer);
                 self.answered_at = self.front.shutdown.get().is_closing().then(Instant::now);
             }
-            heard = hear(&mut self.stream, &mut self.input, may_read, stage >= Stage::Abandoning) => match heard? {
-                Heard::Bytes => self.came(),
-                Heard::End => self.gone = true,
-                Heard::SentOn => self.fail_the_rest(),
+            event = read_or_watch(&mut self.stream, &mut self.input, may_read, stage >= Stage::Abandoning) => match event? {
+                ClientEvent::Bytes => self.take_in_bytes(),
+                ClientEvent::End => self.gone = true,
+                ClientEvent::SentOn => self.fail_owed_answers(),
             },
-            () = self.door.notified(), if at_rest => {
+            () = self.close_signal.notified(), if at_rest => {
                 let closing = self.front.places.borrow().is_closing(self.id);
                 return Ok(if closing { Next::GiveWay } else { Next::GoOn });
             }
@@ -229,7 +229,7 @@
     }
 
     fn schedule(&self) -> Schedule {
-        let has_asked = self.told != Told::Awaits;
+        let has_asked = self.slot_state != SlotState::Awaits;
         let activity = Activity { opened: self.opened, has_asked, answered_at: self.answered_at };
         self.front.shutdown.get().schedule(&activity)
     }
@@ -250,7 +250,7 @@
             }
             // Guards commands that were read but had no place: each place that falls free is used at once.
             let waiting = self.replies.len();
-            self.parse();
+            self.read_commands();
             if self.replies.len() == waiting {
                 return;
             }
@@ -274,18 +274,18 @@
     }
 
     /// Gives every request that is still owed its answer one: it would be lost with the connection.
-    fn fail_the_rest(&mut self) {
+    fn fail_owed_answers(&mut self) {
         for reply in &mut self.replies {
             if let Reply::Later(ticket) = reply {
                 let answer = ticket.now_or_never().unwrap_or_else(|| ticket.give_up());
-                *reply = worded(answer);
+                *reply = encode(answer);
             }
         }
     }
 
     /// Passes on the large answer that is due, as it comes. If it breaks off, so does the client's connection: it can tell
     /// by the length that went ahead.
-    async fn pass_on(&mut self) -> io::Result<()> {
+    async fn stream_answer(&mut self) -> io::Result<()> {
         let Some(Reply::Streamed(mut streamed)) = self.replies.pop_front() else { return Ok(()) };
         let mut head = BytesMut::with_capacity(16);
         resp::put_bulk_head(&mut head, streamed.length());
@@ -293,7 +293,7 @@
         while !streamed.done() {
             let bytes = tokio::select! {
                 bytes = streamed.next() => bytes?,
-                () = left(&self.stream) => return Err(io::ErrorKind::ConnectionAborted.into()),
+                () = client_left(&self.stream) => return Err(io::ErrorKind::ConnectionAborted.into()),
             };
             let taken = bytes.len();
             write(&self.stream, bytes).await?;
@@ -302,16 +302,16 @@
         write(&self.stream, b"\r\n").await
     }
 
-    /// Tells the places what this connection does, where it has changed.
-    fn tell(&mut self, told: Told) {
-        if std::mem::replace(&mut self.told, told) == told {
+    /// Notifies the places of what this connection does, where it has changed.
+    fn notify_slots(&mut self, state: SlotState) {
+        if std::mem::replace(&mut self.slot_state, state) == state {
             return;
         }
         let id = self.id;
-        self.front.decide(|places, now| match told {
-            Told::Awaits => places.awaits(now, id),
-            Told::Busy => places.asked(now, id),
-            Told::Idle => places.answered(now, id),
+        self.front.decide(|places, now| match state {
+            SlotState::Awaits => places.awaits(now, id),
+            SlotState::Busy => places.asked(now, id),
+            SlotState::Idle => places.answered(now, id),
         });
     }
 }
--- a/crates/front/src/client/closing.rs
+++ b/crates/front/src/client/closing.rs
@@ -1,6 +1,6 @@
 //! How a client's connection comes to its end: the client leaves, or it is closed so that nothing on its way is lost.
 
-use super::{Client, Told};
+use super::{Client, SlotState};
 use crate::Front;
 use bytes::BytesMut;
 use futures_util::FutureExt;
@@ -33,14 +33,14 @@
 
 /// Waits until the client has ended its sending, and reads nothing. The first look is now: a timer that is due has yet to
 /// be fired, and meanwhile the core sends on what came in one piece with that end.
-pub(super) async fn left(stream: &TcpStream) {
+pub(super) async fn client_left(stream: &TcpStream) {
     while !has_left(stream) {
         sleep(LOOKED_AT).await;
     }
 }
 
 /// What is heard of a client.
-pub(super) enum Heard {
+pub(super) enum ClientEvent {
     /// Bytes were read.
     Bytes,
     /// It has ended its sending.
@@ -50,20 +50,20 @@
 }
 
 /// Reads more, where more may be taken; else waits until the client has left, or, where that is asked, has sent on.
-pub(super) async fn hear(
+pub(super) async fn read_or_watch(
     stream: &mut TcpStream, input: &mut BytesMut, may_read: bool, look_for_more: bool,
-) -> io::Result<Heard> {
+) -> io::Result<ClientEvent> {
     if may_read {
         let read = stream.read_buf(input).await?;
-        return Ok(if read == 0 { Heard::End } else { Heard::Bytes });
+        return Ok(if read == 0 { ClientEvent::End } else { ClientEvent::Bytes });
     }
     while !has_left(stream) {
         if look_for_more && has_unread(stream) {
-            return Ok(Heard::SentOn);
+            return Ok(ClientEvent::SentOn);
         }
         sleep(LOOKED_AT).await;
     }
-    Ok(Heard::End)
+    Ok(ClientEvent::End)
 }
 
 /// Whether something lies unread.
@@ -81,7 +81,7 @@
                 writable = timeout(WRITE_TIME, stream.writable()) => {
                     writable.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
                 }
-                () = left(stream) => return Err(io::ErrorKind::ConnectionAborted.into()),
+                () = client_left(stream) => return Err(io::ErrorKind::ConnectionAborted.into()),
             },
             Err(error) => return Err(error),
         }
@@ -90,12 +90,12 @@
 }
 
 impl Client {
-    pub(super) async fn nothing_came(&mut self) -> io::Result<bool> {
-        Front::breathe().await;
+    pub(super) async fn nothing_more_came(&mut self) -> io::Result<bool> {
+        Front::yield_to_runtime().await;
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => Ok(true),
             Ok(_) => {
-                self.came();
+                self.take_in_bytes();
                 Ok(false)
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(true),
@@ -106,7 +106,7 @@
     /// Closes a connection between requests. A command that crosses is left unread, which tells its client to send it
     /// once more; it is counted. Where one has crossed, or an answer may still be on its way, the close waits for the
     /// client's: over unread bytes it would be a reset, which takes with it what is left of that answer.
-    pub(super) async fn part(mut self) -> io::Result<()> {
+    pub(super) async fn close_between_requests(mut self) -> io::Result<()> {
         log::debug!("client {}: closing", self.id.0);
         self.stream.shutdown().await?;
         let now = Instant::now();
@@ -118,15 +118,15 @@
         };
         if !ready?.is_read_closed() {
             self.front.places.borrow_mut().crossed();
-            let _ = timeout_at(until, left(&self.stream)).await;
+            let _ = timeout_at(until, client_left(&self.stream)).await;
         }
         Ok(())
     }
 
     /// Ends our sending, then reads on for a while: closing with bytes unread would reset the connection, and the
     /// client might lose the error that it was just sent.
-    pub(super) async fn linger(&mut self) -> io::Result<()> {
-        self.tell(Told::Awaits);
+    pub(super) async fn lingering_close(&mut self) -> io::Result<()> {
+        self.notify_slots(SlotState::Awaits);
         self.stream.shutdown().await?;
         let until = self.schedule().linger_until(Instant::now(), SHORT_LINGER, LINGER);
         self.input = BytesMut::with_capacity(LINGER_READ.0);
@@ -139,7 +139,7 @@
         };
         tokio::select! {
             drained = timeout_at(until, drain) => drained.unwrap_or(Ok(())),
-            () = self.door.notified() => Ok(()),
+            () = self.close_signal.notified() => Ok(()),
         }
     }
 }
--- a/crates/front/src/client/commands.rs
+++ b/crates/front/src/client/commands.rs
@@ -1,6 +1,6 @@
 //! From the bytes of a client to commands, and from a command to its reply.
 
-use super::{Client, MOST_WAITING, REFUSED, Reply, Told, line};
+use super::{Client, MOST_WAITING, REFUSED, Reply, SlotState, line};
 use crate::request::{self, Asked};
 use crate::shutdown::Stage;
 use bytes::{Buf, Bytes};
@@ -16,7 +16,7 @@
 
 impl Client {
     /// Something has been read.
-    pub(super) fn came(&mut self) {
+    pub(super) fn take_in_bytes(&mut self) {
         if self.value_until.is_some() {
             self.awaited_since = Some(Instant::now()); // a value that goes on coming is waited for
         }
@@ -28,7 +28,7 @@
                 (self.awaited_since, self.value_until) = (None, None);
             }
         }
-        self.parse();
+        self.read_commands();
     }
 
     /// Looks at a command that is not whole: one whose value is large needs room before it is read on. An answer, if the
@@ -73,7 +73,7 @@
     }
 
     /// Reads the commands that are whole, as far as there are places for their answers.
-    pub(super) fn parse(&mut self) {
+    pub(super) fn read_commands(&mut self) {
         let stage = self.schedule().stage_now();
         while !self.ending && self.replies.len() < MOST_WAITING {
             let found = match self.room {
@@ -82,7 +82,7 @@
             };
             let room = if let Ok(Some(_)) = found {
                 (self.awaited_since, self.value_until) = (None, None);
-                self.tell(Told::Busy);
+                self.notify_slots(SlotState::Busy);
                 self.room.take()
             } else {
                 None
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform's RESP front: the listener, and the places for client connections. Beside it, the door for operators.
+//! The platform's RESP front: the listener, and the places for client connections. Beside it, the admin endpoint.
 //!
 //! A front reads its protocol's words, hands the core a request ([`gateway::engine::Handle::submit`]) and words the one
 //! answer that comes of it. Who keeps a connection is decided by `admission`, which a [`Front`] drives; [`operator`]
@@ -47,7 +47,7 @@
     next: RefCell<u64>,
     places: RefCell<Places>,
     /// The way to ask each connection to close.
-    doors: RefCell<FxHashMap<ConnectionId, Rc<Notify>>>,
+    close_signals: RefCell<FxHashMap<ConnectionId, Rc<Notify>>>,
     malformed: Seldom,
     full: Seldom,
     failed: Seldom,
@@ -76,7 +76,7 @@
             started: Instant::now(),
             next: RefCell::default(),
             places: RefCell::new(Places::new(most)),
-            doors: RefCell::default(),
+            close_signals: RefCell::default(),
             malformed: Seldom::default(),
             full: Seldom::default(),
             failed: Seldom::default(),
@@ -159,16 +159,16 @@
         Room::Slot
     }
 
-    /// Tells the places of something, and passes on whom they ask to close for it.
-    fn decide<T>(&self, tell: impl FnOnce(&mut Places, Micros) -> T) -> T {
+    /// Notifies the places of something, and passes on whom they ask to close for it.
+    fn decide<T>(&self, notify: impl FnOnce(&mut Places, Micros) -> T) -> T {
         let mut places = self.places.borrow_mut();
-        let told = tell(&mut places, self.started.elapsed().as_micros() as Micros);
+        let outcome = notify(&mut places, self.started.elapsed().as_micros() as Micros);
         while let Some(id) = places.poll_close() {
-            if let Some(door) = self.doors.borrow().get(&id) {
-                door.notify_one();
+            if let Some(close_signal) = self.close_signals.borrow().get(&id) {
+                close_signal.notify_one();
             }
         }
-        told
+        outcome
     }
 
     fn report(&self) {
@@ -180,14 +180,16 @@
     fn serve(self: Rc<Self>, stream: TcpStream, address: IpAddr) {
         *self.next.borrow_mut() += 1;
         let id = ConnectionId(*self.next.borrow());
-        let door = Rc::new(Notify::new());
-        self.doors.borrow_mut().insert(id, door.clone());
+        let close_signal = Rc::new(Notify::new());
+        self.close_signals.borrow_mut().insert(id, close_signal.clone());
         let patience = self.decide(|places, now| places.enter(now, id, address));
         tokio::task::spawn_local(async move {
-            if let Err(error) = client::Client::new(self.clone(), stream, id, door, patience).run().await {
+            if let Err(error) =
+                client::Client::new(self.clone(), stream, id, close_signal, patience).run().await
+            {
                 log::debug!("client {}: {error}", id.0);
             }
-            self.doors.borrow_mut().remove(&id);
+            self.close_signals.borrow_mut().remove(&id);
             self.decide(|places, now| places.left(now, id));
             self.freed.notify_one();
         });
@@ -232,7 +234,7 @@
     }
 
     /// Lets the runtime look at its sockets once more.
-    async fn breathe() {
+    async fn yield_to_runtime() {
         let mut polled = false;
         poll_fn(|cx| {
             if std::mem::replace(&mut polled, true) {
