Test each order in each stage of a connection's schedule, on reckoned times

The state machine of drain and shutdown had only tests through whole programs. It is public in its crate now, for its tests.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,14 +11,13 @@
 mod client;
 pub mod operator;
 mod request;
-mod shutdown;
+pub mod shutdown;
 
 use admission::{ConnectionId, Micros, Places};
 use gateway::engine::Handle;
 use gateway::setup::Names;
 use rustc_hash::FxHashMap;
 use seldom::Seldom;
-pub use shutdown::LAST_WRITES;
 use shutdown::Shutdown;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -35,27 +35,27 @@
 
 /// What was ordered: a drain, which may end, and the end of the process, which may not. Both may be in force.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Shutdown {
+pub struct Shutdown {
     draining_since: Option<Instant>,
     termination: Option<Termination>,
 }
 
 /// What a connection's schedule depends on.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Activity {
+pub struct Activity {
     /// When it was accepted.
-    pub(crate) opened: Instant,
+    pub opened: Instant,
     /// Whether a command has ever come.
-    pub(crate) has_asked: bool,
+    pub has_asked: bool,
     /// When its last request was answered while connections were to close.
-    pub(crate) answered_at: Option<Instant>,
+    pub answered_at: Option<Instant>,
 }
 
 /// The times from which on a connection is served less; each is missing where it never comes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) struct Schedule {
+pub struct Schedule {
     /// It is closed if it rests: owes nothing, is owed nothing, and nothing has come of a further command.
-    pub(crate) idle: Option<Instant>,
+    pub idle: Option<Instant>,
     /// Requests that come are shed.
     shed: Option<Instant>,
     /// Nothing more is read.
@@ -70,7 +70,7 @@
 
 /// How far a connection has come in its schedule, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Stage {
+pub enum Stage {
     /// It is served.
     Serving,
     /// Requests that come on it are shed.
@@ -89,27 +89,27 @@
 
 impl Shutdown {
     /// Takes in whether the balancer is being drained; a drain that is in force goes on by its own time.
-    pub(crate) fn drain(&mut self, now: Instant, draining: bool) {
+    pub fn drain(&mut self, now: Instant, draining: bool) {
         self.draining_since = draining.then(|| self.draining_since.unwrap_or(now));
     }
 
     /// Takes in that the process is to end: connections at rest close after `idle`, and all is answered by `ends`. For good.
-    pub(crate) fn terminate(&mut self, now: Instant, idle: Duration, ends: Instant) {
+    pub fn terminate(&mut self, now: Instant, idle: Duration, ends: Instant) {
         self.termination = Some(Termination { since: now, idle, ends });
     }
 
     /// Whether the balancer is being drained.
-    pub(crate) fn is_draining(&self) -> bool {
+    pub fn is_draining(&self) -> bool {
         self.draining_since.is_some()
     }
 
     /// Whether connections are to close.
-    pub(crate) fn is_closing(&self) -> bool {
+    pub fn is_closing(&self) -> bool {
         self.reason().is_some()
     }
 
     /// Why no client should come here now, if so.
-    pub(crate) fn reason(&self) -> Option<&'static str> {
+    pub fn reason(&self) -> Option<&'static str> {
         match (self.termination, self.draining_since) {
             (Some(_), _) => Some("this process is ending"),
             (None, Some(_)) => Some("draining"),
@@ -118,12 +118,12 @@
     }
 
     /// Whether newcomers for whom there is no connection slot are closed unread: none of those who hold one leaves in time.
-    pub(crate) fn turns_away(&self, now: Instant) -> bool {
+    pub fn turns_away(&self, now: Instant) -> bool {
         self.draining_since.is_some_and(|since| now >= since + DRAIN_READS)
     }
 
     /// The schedule of a connection.
-    pub(crate) fn schedule(&self, connection: &Activity) -> Schedule {
+    pub fn schedule(&self, connection: &Activity) -> Schedule {
         let drain = self.draining_since.map(|since| drain_schedule(since, connection));
         let end = self.termination.map(|termination| termination.schedule(connection));
         match (drain, end) {
@@ -182,7 +182,7 @@
     }
 
     /// How far a connection has come by this time.
-    pub(crate) fn stage(&self, now: Instant) -> Stage {
+    pub fn stage(&self, now: Instant) -> Stage {
         let over = |time: Option<Instant>| time.is_some_and(|time| now >= time);
         match () {
             () if over(self.fail) => Stage::Failing,
@@ -194,12 +194,12 @@
     }
 
     /// How far it has come by now; the clock is read only where connections are to close.
-    pub(crate) fn stage_now(&self) -> Stage {
+    pub fn stage_now(&self) -> Stage {
         if self.shed.is_none() { Stage::Serving } else { self.stage(Instant::now()) }
     }
 
     /// When it leaves this stage.
-    pub(crate) fn next_stage(&self, stage: Stage) -> Option<Instant> {
+    pub fn next_stage(&self, stage: Stage) -> Option<Instant> {
         match stage {
             Stage::Serving => self.shed,
             Stage::Shedding => self.read,
@@ -210,7 +210,7 @@
     }
 
     /// When a lingering close that begins now ends: after `most`, and after `least` even where the time for it is over.
-    pub(crate) fn linger_until(&self, now: Instant, least: Duration, most: Duration) -> Instant {
+    pub fn linger_until(&self, now: Instant, least: Duration, most: Duration) -> Instant {
         self.closed.map_or(now + most, |closed| (now + most).min(closed.max(now + least)))
     }
 }
--- /dev/null
+++ b/crates/front/tests/shutdown.rs
@@ -0,0 +1,127 @@
+//! The schedule of a client connection: each order in each stage. Times are reckoned, none is waited for.
+
+use front::shutdown::{Activity, Schedule, Shutdown, Stage};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const HOUR: u64 = 3_600_000;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// One that was opened long ago, has asked, and was answered before all orders.
+fn used(start: Instant) -> Activity {
+    Activity { opened: start, has_asked: true, answered_at: None }
+}
+
+/// What is ordered, so many milliseconds after the start.
+#[derive(Debug, Clone, Copy)]
+enum Order {
+    Drain(u64),
+    Undrain(u64),
+    /// The process ends 3.5 s later.
+    Terminate(u64),
+}
+
+fn ordered(start: Instant, orders: &[Order]) -> Shutdown {
+    let mut shutdown = Shutdown::default();
+    for order in orders {
+        match *order {
+            Order::Drain(at) => shutdown.drain(start + ms(at), true),
+            Order::Undrain(at) => shutdown.drain(start + ms(at), false),
+            Order::Terminate(at) => shutdown.terminate(start + ms(at), ms(500), start + ms(at + 3_500)),
+        }
+    }
+    shutdown
+}
+
+/// The stage from each of these times on, up to the next.
+#[rstest]
+#[case::none(&[], &[(0, Stage::Serving), (HOUR, Stage::Serving)])]
+#[case::drain(
+    &[Order::Drain(0)],
+    &[(0, Stage::Serving), (1_500, Stage::Finishing), (2_500, Stage::Abandoning), (HOUR, Stage::Abandoning)]
+)]
+#[case::drain_twice(
+    &[Order::Drain(0), Order::Drain(1_000)],
+    &[(1_499, Stage::Serving), (1_500, Stage::Finishing), (2_500, Stage::Abandoning)]
+)]
+#[case::undrain(&[Order::Drain(0), Order::Undrain(2_000)], &[(2_000, Stage::Serving), (HOUR, Stage::Serving)])]
+#[case::undrain_without_drain(&[Order::Undrain(0)], &[(0, Stage::Serving), (HOUR, Stage::Serving)])]
+#[case::drain_anew(
+    &[Order::Drain(0), Order::Undrain(1_000), Order::Drain(1_000)],
+    &[(2_499, Stage::Serving), (2_500, Stage::Finishing), (3_500, Stage::Abandoning)]
+)]
+#[case::terminate(&[Order::Terminate(0)], &[(0, Stage::Serving), (3_499, Stage::Serving), (3_500, Stage::Failing)])]
+#[case::drain_then_terminate(
+    &[Order::Drain(0), Order::Terminate(1_000)],
+    &[(1_500, Stage::Finishing), (2_500, Stage::Abandoning), (4_500, Stage::Failing)]
+)]
+#[case::terminate_then_drain(
+    &[Order::Terminate(0), Order::Drain(1_000)],
+    &[(2_499, Stage::Serving), (2_500, Stage::Finishing), (3_500, Stage::Failing)]
+)]
+#[case::undrain_ends_no_termination(
+    &[Order::Terminate(0), Order::Drain(100), Order::Undrain(200)],
+    &[(2_000, Stage::Serving), (3_500, Stage::Failing)]
+)]
+fn every_order_in_every_stage(#[case] orders: &[Order], #[case] stages: &[(u64, Stage)]) {
+    let start = Instant::now();
+    let schedule = ordered(start, orders).schedule(&used(start));
+    for (at, stage) in stages {
+        assert_eq!(schedule.stage(start + ms(*at)), *stage, "{at} ms");
+    }
+}
+
+#[test]
+fn connection_at_rest_closes_behind_its_answer_or_when_its_time_is_over() {
+    let start = Instant::now();
+    let shutdown = ordered(start, &[Order::Drain(0)]);
+    let idle = |activity: Activity| shutdown.schedule(&activity).idle;
+    assert_eq!(idle(used(start)), Some(start + ms(1_000)));
+    let answered = |at| Activity { answered_at: Some(start + ms(at)), ..used(start) };
+    assert_eq!(idle(answered(700)), Some(start + ms(700)));
+    let silent = |at| Activity { opened: start + ms(at), has_asked: false, answered_at: None };
+    assert_eq!(idle(silent(0)), Some(start + ms(1_000)));
+    assert_eq!(idle(silent(900)), Some(start + ms(1_200)), "its first command may be on its way");
+    assert_eq!(Shutdown::default().schedule(&used(start)), Schedule::default());
+}
+
+/// A connection that is accepted after the time for reading has its first command read and shed.
+#[test]
+fn connection_accepted_late_is_read_for_a_moment_and_closed() {
+    let start = Instant::now();
+    let late = Activity { opened: start + ms(10_000), has_asked: false, answered_at: None };
+    let schedule = ordered(start, &[Order::Drain(0)]).schedule(&late);
+    assert_eq!(schedule.stage(start + ms(10_000)), Stage::Shedding);
+    assert_eq!(schedule.stage(start + ms(10_300)), Stage::Abandoning);
+    assert_eq!(schedule.next_stage(Stage::Shedding), Some(start + ms(10_300)));
+}
+
+#[test]
+fn lingering_close_ends_in_time_and_lasts_a_moment_at_least() {
+    let start = Instant::now();
+    let schedule = ordered(start, &[Order::Drain(0)]).schedule(&used(start));
+    let until = |at| schedule.linger_until(start + ms(at), ms(100), ms(2_000));
+    assert_eq!(until(0), start + ms(2_000));
+    assert_eq!(until(2_500), start + ms(3_250));
+    assert_eq!(until(6_000), start + ms(6_100), "an answer to a request taken in time came late");
+    let serving = Schedule::default().linger_until(start, ms(100), ms(2_000));
+    assert_eq!(serving, start + ms(2_000));
+}
+
+#[test]
+fn drain_is_known_beside_end_of_process() {
+    let start = Instant::now();
+    for orders in [[Order::Drain(0), Order::Terminate(1)], [Order::Terminate(0), Order::Drain(1)]] {
+        let shutdown = ordered(start, &orders);
+        assert!(shutdown.is_draining() && shutdown.is_closing());
+        assert_eq!(shutdown.reason(), Some("this process is ending"));
+    }
+    let draining = ordered(start, &[Order::Drain(0)]);
+    assert_eq!(draining.reason(), Some("draining"));
+    assert!(!draining.turns_away(start + ms(1_499)) && draining.turns_away(start + ms(1_500)));
+    assert!(!ordered(start, &[Order::Terminate(0)]).turns_away(start + ms(3_000)));
+}
