Serve the first newcomer after a drain whose slots were all busy

Seen by reading, then forced in drain_closes_connections_in_backlog_in_time: '' in place of '+PONG' from the first client behind /undrain. Since: whether there is a slot was asked before the wait for a connection, and a newcomer that came long after was closed by that answer. It is asked again as the connection is there. Also added: requests that wait for a node, a fetch, another's fetch or a dial as the drain comes are answered by their deadline, and a drain ahead of the first list closes connections in time (both held by the program as it was).

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -110,11 +110,11 @@
                 }
             };
             match accepted {
-                (Room::Slot, Ok((stream, address))) => self.clone().serve(stream, address.ip()),
-                (Room::None, Ok((stream, address))) => {
+                (Room::None, Ok((stream, address))) if self.turns_away() => {
                     log::debug!("{address}: turned away, all connections are busy while draining");
                     drop(stream); // unread, so that its client asks elsewhere
                 }
+                (_, Ok((stream, address))) => self.clone().serve(stream, address.ip()),
                 (_, Err(error)) => {
                     // Guards against a spin on EMFILE: the client stays in the backlog meanwhile.
                     if let Some(more) = self.failed.line() {
@@ -141,6 +141,11 @@
         .await;
     }
 
+    /// Whether a newcomer is turned away: a slot may have fallen free, or the drain have ended, since it was waited for.
+    fn turns_away(&self) -> bool {
+        !self.decide(Places::has_room) && self.shutdown.get().turns_away(Instant::now())
+    }
+
     /// Waits for a place for one more client, at the cost of one that [`Places`] picks.
     async fn room(&self) -> Room {
         while !self.decide(Places::has_room) {
--- a/crates/spindlebeam/tests/drain.rs
+++ b/crates/spindlebeam/tests/drain.rs
@@ -304,6 +304,80 @@
     wait_until(|| !is_held(p.balancer.addr, client.port()));
 }
 
+/// What a request waits for as the drain comes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum WaitsFor {
+    /// Its answer, at a cache node that hangs.
+    CacheNode,
+    /// Its fetch, at an origin that hangs.
+    Origin,
+    /// The fetch of another request for the same key.
+    OtherFetch,
+    /// A connection to its cache node, which is held in its dial.
+    Dial,
+}
+
+/// Its time is shorter than the drain's: it is answered by then, and its connection closed.
+#[rstest]
+fn drain_answers_waiting_request_by_its_deadline(
+    #[values(WaitsFor::CacheNode, WaitsFor::Origin, WaitsFor::OtherFetch, WaitsFor::Dial)] waits: WaitsFor,
+) {
+    let (narrow, admit) = Peer::narrow(false);
+    admit.send(()).unwrap();
+    let p = Platform::of(vec![narrow], Peer::start(true), 1024, |config| {
+        config["operator"] = "127.0.0.1:0".into();
+    });
+    let [mut first, mut client] = [(); 2].map(|()| p.balancer.client());
+    let mut waiting = Vec::new();
+    if matches!(waits, WaitsFor::OtherFetch | WaitsFor::Dial) {
+        first.get("leer", "1");
+        waiting.push(p.peers[0].asked());
+    }
+    if waits == WaitsFor::OtherFetch {
+        waiting.pop().unwrap().miss();
+        waiting.push(p.origin.asked());
+    }
+    client.get_within("leer", "1", Duration::from_millis(800));
+    match waits {
+        WaitsFor::CacheNode => waiting.push(p.peers[0].asked()),
+        WaitsFor::Origin => {
+            p.peers[0].asked().miss();
+            waiting.push(p.origin.asked());
+        }
+        WaitsFor::OtherFetch => p.peers[0].asked().miss(),
+        WaitsFor::Dial => {}
+    }
+    p.balancer.order("/drain", "");
+    let drained = Instant::now();
+    assert!(client.answer().starts_with('-'), "{waits:?}: its time is over");
+    assert!(client.ended());
+    wait_until(|| !is_held(p.balancer.addr, client.port()));
+    assert!(drained.elapsed() < DRAINED_WITHIN);
+    assert!(waits != WaitsFor::OtherFetch || p.origin.heard_of_nothing_more(), "one fetch for both");
+}
+
+/// Discovery is silent, and no list has ever come: a drain does not wait for it.
+#[test]
+fn drain_before_first_list_closes_connections_in_time() {
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut waiting = config(silent.local_addr().unwrap(), 1024, serde_json::Value::Null);
+    waiting["operator"] = "127.0.0.1:0".into();
+    let balancer = Balancer::start(&waiting, 1024);
+    let [mut idle, mut unfinished, mut asks] = [(); 3].map(|()| balancer.client());
+    idle.send(&["PING"]);
+    assert!(idle.answer().starts_with("-LOADING"));
+    unfinished.raw(PART_OF_COMMAND);
+    balancer.order("/drain", "");
+    let drained = Instant::now();
+    asks.get("leer", "1");
+    assert!(asks.answer().starts_with("-BUSY"), "there is no server");
+    assert_eq!(unfinished.answer(), "-BUSY");
+    let ports = [idle.port(), unfinished.port(), asks.port()];
+    wait_until(|| !ports.iter().any(|port| is_held(balancer.addr, *port)));
+    let took = drained.elapsed();
+    assert!(took < DRAINED_WITHIN, "held for {took:?}");
+}
+
 /// An answer of which its client takes little at a time, and one that its cache node gives little by little.
 #[test]
 fn drain_breaks_off_no_answer_under_way() {
@@ -361,6 +435,11 @@
     for client in &mut busy {
         assert_eq!((client.answer().as_str(), client.ended()), ("v", true));
     }
+    // Slots are free again, and the first that comes has one.
+    p.balancer.order("/undrain", "");
+    let mut new = p.balancer.client();
+    new.send(&["PING"]);
+    assert_eq!(new.answer(), "+PONG");
 }
 
 /// The end of the drain comes while an answer is due: the connection stays, and is served as before.
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -577,6 +577,11 @@
     pub fn get_as(&mut self, id: &str, class: &str, key: &str) {
         self.send(&["CACHE.GET", key, id, &format!("c={class},t=acme,d=60000")]);
     }
+    /// A read whose client waits for no longer than this.
+    pub fn get_within(&mut self, class: &str, key: &str, time: Duration) {
+        let options = format!("c={class},t=acme,d={}", time.as_millis());
+        self.send(&["CACHE.GET", key, &new_id(), &options]);
+    }
     pub fn set(&mut self, class: &str, value: &str) {
         self.send(&["CACHE.SET", "7f", &new_id(), &format!("c={class},t=acme,d=60000,k=5c0f"), value]);
     }
