--- a/crates/spindlebeam/tests/operators.rs
+++ b/crates/spindlebeam/tests/operators.rs
@@ -291,14 +291,20 @@
     assert_eq!(client.answer(), "+PONG");
 }
 
-/// Two processes of one balancer are given an order each at the same moment, again and again: all are in force in both.
-#[test]
-fn orders_given_to_both_processes_at_once_are_in_force_in_both() {
+/// Two cache nodes, their discovery, and the configuration of a balancer that operators call.
+fn two_cache_nodes() -> ([Peer; 2], Discovery, Value) {
     let peers = [(); 2].map(|()| Peer::start(false));
     let members = [0, 1].map(|n| member(&format!("s-{n}"), peers[n].addr, "ready"));
     let discovery = Discovery::start(list(1, true, &members));
     let mut config = config(discovery.addr, 1024, Value::Null);
     config["operator"] = "127.0.0.1:0".into();
+    (peers, discovery, config)
+}
+
+/// Two processes of one balancer are given an order each at the same moment, again and again: all are in force in both.
+#[test]
+fn orders_given_to_both_processes_at_once_are_in_force_in_both() {
+    let (_peers, _discovery, config) = two_cache_nodes();
     let home = Home::new();
     let both = [(); 2].map(|()| {
         let process = Balancer::start_at(&home, &config);
@@ -346,11 +352,7 @@
 
 #[test]
 fn a_start_waits_for_what_was_ordered_before_while_the_disk_stands_still() {
-    let peers = [(); 2].map(|()| Peer::start(false));
-    let members = [0, 1].map(|n| member(&format!("s-{n}"), peers[n].addr, "ready"));
-    let discovery = Discovery::start(list(1, true, &members));
-    let mut config = config(discovery.addr, 1024, Value::Null);
-    config["operator"] = "127.0.0.1:0".into();
+    let (peers, _discovery, config) = two_cache_nodes();
     let home = Home::new();
     let disk = stands_still(home.folder.join("spindlebeam-orders.json"));
     let balancer = Balancer::start_at(&home, &config);
