Log hold-ups of the thread, late answers and what a list takes, and name why a connection closes

Added: a heartbeat each 25 ms (longest delay every 10 s; each from 25 ms on, thinned out), a warning for each answer over 50 ms after its time with the client's id, the client's id beside the request's number (debug), bytes, reads and time of each list and how long it took to be in force (a warning from 50 ms on), and the reason of a close between requests (debug).

--- a/crates/discovery/src/call.rs
+++ b/crates/discovery/src/call.rs
@@ -6,6 +6,7 @@
 use proto::http::{self, Decoder, Piece, Whole};
 use std::net::SocketAddr;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::Instant;
 
 /// An answer of the agent that is none.
 #[derive(Debug, thiserror::Error)]
@@ -17,6 +18,39 @@
     error.downcast_ref::<Status>().is_some_and(|it| it.0 == 503 || it.0 == 429)
 }
 
+/// What it took to read a list.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Reading {
+    /// Its bytes, those of the answer around it included.
+    pub(crate) bytes: usize,
+    /// In how many pieces it was read.
+    pub(crate) reads: usize,
+    /// When the last of them was read.
+    pub(crate) last: Instant,
+}
+
+impl Reading {
+    fn begin() -> Self {
+        Self { bytes: 0, reads: 0, last: Instant::now() }
+    }
+
+    fn read(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.reads += 1;
+        self.last = Instant::now();
+    }
+
+    /// Says what a list has taken, up to now: it is handed on.
+    pub(crate) fn log(&self, list: &List) {
+        let (revision, members, behind) = (list.revision, list.members.len(), self.last.elapsed());
+        let Self { bytes, reads, .. } = self;
+        log::debug!(
+            "discovery: revision {revision}, {members} members, {bytes} bytes in {reads} reads, \
+             handed on {behind:?} behind the last"
+        );
+    }
+}
+
 /// What a call came to.
 pub(crate) enum Answered<S> {
     /// The whole list.
@@ -40,21 +74,27 @@
     }
 }
 
-async fn read(stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut) -> Result<()> {
-    ensure!(stream.read_buf(buffer).await? > 0, "the connection ended");
+async fn read(
+    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, reading: &mut Reading,
+) -> Result<()> {
+    let read = stream.read_buf(buffer).await?;
+    ensure!(read > 0, "the connection ended");
+    reading.read(read);
     Ok(())
 }
 
 async fn whole(mut stream: impl AsyncRead + Unpin) -> Result<List> {
-    let (mut whole, mut buffer) = (Whole::new(MAX_LIST), BytesMut::new());
+    let (mut whole, mut buffer, mut reading) = (Whole::new(MAX_LIST), BytesMut::new(), Reading::begin());
     let (head, body) = loop {
         match whole.next(&mut buffer)? {
             Some(answer) => break answer,
-            None => read(&mut stream, &mut buffer).await?,
+            None => read(&mut stream, &mut buffer, &mut reading).await?,
         }
     };
     ensure!(head.status == 200, Status(head.status));
-    Ok(discovery::list(&body)?)
+    let list = discovery::list(&body)?;
+    reading.log(&list);
+    Ok(list)
 }
 
 /// A watch that is open.
@@ -63,15 +103,17 @@
     decoder: Decoder,
     buffer: BytesMut,
     lines: BytesMut,
+    /// Since the last line.
+    reading: Reading,
 }
 
 impl<S: AsyncRead + Unpin> Watch<S> {
     async fn open(stream: S) -> Result<Self> {
-        let mut it =
-            Self { stream, decoder: Decoder::default(), buffer: BytesMut::new(), lines: BytesMut::new() };
+        let (decoder, buffer, lines) = (Decoder::default(), BytesMut::new(), BytesMut::new());
+        let mut it = Self { stream, decoder, buffer, lines, reading: Reading::begin() };
         loop {
             match it.decoder.next(&mut it.buffer)? {
-                None => read(&mut it.stream, &mut it.buffer).await?,
+                None => read(&mut it.stream, &mut it.buffer, &mut it.reading).await?,
                 Some(Piece::Head(head)) => {
                     ensure!(head.status == 200, Status(head.status));
                     return Ok(it);
@@ -85,10 +127,14 @@
     pub(crate) async fn next(&mut self) -> Result<Line> {
         loop {
             if let Some(line) = discovery::next_line(&mut self.lines)? {
+                let reading = std::mem::replace(&mut self.reading, Reading::begin());
+                if let Line::Changed(list) = &line {
+                    reading.log(list);
+                }
                 return Ok(line);
             }
             match self.decoder.next(&mut self.buffer)? {
-                None => read(&mut self.stream, &mut self.buffer).await?,
+                None => read(&mut self.stream, &mut self.buffer, &mut self.reading).await?,
                 Some(Piece::Data(part)) => self.lines.extend_from_slice(&part),
                 Some(Piece::End) => bail!("the watch ended"),
                 Some(Piece::Head(_)) => bail!("a second head"),
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -7,7 +7,7 @@
 use crate::shutdown::{Activity, Schedule, Stage};
 use admission::{ConnectionId, Patience};
 use bytes::{BufMut, BytesMut};
-use closing::{ClientEvent, client_left, read_or_watch, write};
+use closing::{ClientEvent, Close, client_left, read_or_watch, write};
 use futures_util::FutureExt;
 use gateway::engine::Ticket;
 use gateway::{Answer, Held, Streamed};
@@ -158,7 +158,7 @@
                 continue;
             }
             if stage >= Stage::Finishing && self.replies.is_empty() {
-                return self.close_between_requests().await;
+                return self.close_between_requests(Close::Shutdown).await;
             }
             if stage == Stage::Failing {
                 self.fail_owed_answers();
@@ -170,7 +170,11 @@
                 // Guards a request that arrived as the connection was about to close: it has been taken.
                 Next::GiveWay | Next::Overdue if !self.nothing_more_came().await? => {}
                 Next::Overdue if self.has_unfinished() => self.end_unfinished(),
-                Next::GiveWay | Next::Overdue => return self.close_between_requests().await,
+                Next::GiveWay => return self.close_between_requests(Close::GivesWay).await,
+                Next::Overdue if self.front.shutdown.get().is_closing() => {
+                    return self.close_between_requests(Close::Shutdown).await;
+                }
+                Next::Overdue => return self.close_between_requests(Close::Rested).await,
             }
             if self.gone {
                 return Ok(());
--- a/crates/front/src/client/closing.rs
+++ b/crates/front/src/client/closing.rs
@@ -39,6 +39,27 @@
     }
 }
 
+/// Why a connection is closed between requests.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Close {
+    /// The balancer drains, or the process ends.
+    Shutdown,
+    /// Another client needs its slot.
+    GivesWay,
+    /// It rested too long, or its first command did not come in time.
+    Rested,
+}
+
+impl Close {
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Shutdown => "the balancer drains or ends",
+            Self::GivesWay => "its slot goes to another",
+            Self::Rested => "it rested too long",
+        }
+    }
+}
+
 /// What is heard of a client.
 pub(super) enum ClientEvent {
     /// Bytes were read.
@@ -106,8 +127,8 @@
     /// Closes a connection between requests. A command that crosses is left unread, which tells its client to send it
     /// once more; it is counted. Where one has crossed, or an answer may still be on its way, the close waits for the
     /// client's: over unread bytes it would be a reset, which takes with it what is left of that answer.
-    pub(super) async fn close_between_requests(mut self) -> io::Result<()> {
-        log::debug!("client {}: closing", self.id.0);
+    pub(super) async fn close_between_requests(mut self, why: Close) -> io::Result<()> {
+        log::debug!("client {}: closing: {}", self.id.0, why.reason());
         self.stream.shutdown().await?;
         let now = Instant::now();
         let until = self.schedule().linger_until(now, SHORT_LINGER, LINGER);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -13,6 +13,7 @@
 
 use crate::figures;
 use crate::fleet::{self as interface, Clock};
+use crate::heartbeat::beat;
 use crate::order_file::OrderFile;
 use crate::setup::{Bounds, Config};
 use context::RequestContext;
@@ -38,6 +39,8 @@
 
 /// How long a start waits for discovery's first list before it makes do with the one it knew.
 const FIRST_LIST: Duration = Duration::from_secs(1);
+/// From what time on a list that was slow to be in force is a warning: a part of the grace that drains leave.
+const SLOW_LIST: Duration = Duration::from_millis(50);
 
 enum Input {
     Arrived(RequestId, Incoming, handle::Owed),
@@ -60,7 +63,8 @@
         streamed: Box<Streamed>,
     },
     Dialled(Rc<Peer>, Option<Connection>),
-    News(News),
+    /// What is heard of discovery, and when it was handed on.
+    News(News, Instant),
     /// A look at the figures.
     Look(oneshot::Sender<String>),
     Order(Order, oneshot::Sender<Verdict>),
@@ -73,6 +77,13 @@
     MayChange(interface::Kind, oneshot::Sender<Result<(), String>>),
 }
 
+/// Says how long a list, or changes to it, took from being handed on to being in force.
+fn log_in_force(list: &List, took: Duration) {
+    let level = if took >= SLOW_LIST { log::Level::Warn } else { log::Level::Debug };
+    let (revision, members) = (list.revision, list.members.len());
+    log::log!(level, "discovery: revision {revision}, {members} members, in force after {took:?}");
+}
+
 /// Unix time; 0 on a machine whose clock stands before 1970.
 #[must_use]
 pub fn unix_us() -> Micros {
@@ -80,11 +91,11 @@
 }
 
 async fn next_input(
-    news: &mut mpsc::UnboundedReceiver<News>, inputs: &mut mpsc::UnboundedReceiver<Input>,
+    news: &mut mpsc::UnboundedReceiver<(News, Instant)>, inputs: &mut mpsc::UnboundedReceiver<Input>,
 ) -> Option<Input> {
     tokio::select! {
         biased;
-        Some(news) = news.recv() => Some(Input::News(news)),
+        Some((news, at)) = news.recv() => Some(Input::News(news, at)),
         input = inputs.recv() => input,
     }
 }
@@ -108,7 +119,7 @@
     handle: Handle,
     inputs: mpsc::UnboundedReceiver<Input>,
     /// What is heard of discovery goes before all that waits: nothing new may go to a host that drains 250 ms later.
-    news: mpsc::UnboundedReceiver<News>,
+    news: mpsc::UnboundedReceiver<(News, Instant)>,
     clock: Clock,
     contexts: FxHashMap<RequestId, RequestContext>,
     timers: DelayQueue<Due>,
@@ -184,6 +195,7 @@
     /// Runs for as long as the program does.
     pub async fn run(mut self) {
         self.known = None;
+        tokio::task::spawn_local(beat(self.handle.heartbeat.clone()));
         let mut sweep = interval(Duration::from_secs(1));
         let mut report = interval(Duration::from_secs(10));
         let mut look = interval(ORDERS_SEEN);
@@ -239,6 +251,7 @@
                         log::info!("other balancers so far: {:?}", talk.counts());
                     }
                     log::info!("answers so far: {}", self.handle.tally.borrow());
+                    log::info!("longest hold-up of the thread of late: {:?}", self.handle.heartbeat.take_longest());
                 }
                 () = &mut first_list, if self.awaits.list => {
                     log::warn!("discovery: silent; starting with the list known before");
@@ -293,9 +306,11 @@
             }
             Input::Looked(looked) => self.looked(looked),
             Input::Wrote(written) => self.keeping.wrote(self.now() / 1_000, &mut self.maintenance, written),
-            Input::News(News::Watching) => self.awaits.list = false,
-            Input::News(News::Told(list)) => {
+            Input::News(News::Watching, _) => self.awaits.list = false,
+            Input::News(News::Told(list), handed_on) => {
                 self.told(&list, false);
+                self.settle();
+                log_in_force(&list, handed_on.elapsed());
                 self.awaits.list = false;
                 self.dial_listed(&list);
             }
--- a/crates/gateway/src/engine/context.rs
+++ b/crates/gateway/src/engine/context.rs
@@ -15,6 +15,8 @@
 
 /// How long after its deadline a request that the module left without an answer is failed.
 const OVERDUE: Duration = Duration::from_millis(10);
+/// An answer this long after its time is logged with its client's id: the rules allow no more.
+const LATE: Duration = Duration::from_millis(50);
 
 /// What the core holds of a request until it is answered and none of its tries is out.
 pub(super) struct RequestContext {
@@ -80,6 +82,13 @@
             time_left_us: incoming.time_left.as_micros() as Micros,
         };
         let taken = Instant::now();
+        let client_id = String::from_utf8_lossy(&incoming.call.id);
+        log::debug!(
+            "request {}: {client_id}, class {}, {:?} left",
+            id.0,
+            incoming.class.0,
+            incoming.time_left
+        );
         let context = RequestContext {
             call: incoming.call,
             _held: incoming.held,
@@ -160,6 +169,13 @@
             context.owed.set(false); // a copy that is still dialling or writing goes no further
             let (class, us) = (context.class, context.taken.elapsed().as_micros());
             log::debug!("request {}: class {} {} after {us} us", id.0, class.0, answer.word());
+            let late = context.deadline.elapsed();
+            if late >= LATE
+                && let Some(more) = self.lines.late.line()
+            {
+                let client_id = String::from_utf8_lossy(&context.call.id);
+                log::warn!("request {client_id}: {} {late:?} after its time{more}", answer.word());
+            }
             self.handle.tally.borrow_mut().answered(class, &answer);
             let _ = sender.send(answer); // a client that has just left is told by its ticket
         }
--- a/crates/gateway/src/engine/handle.rs
+++ b/crates/gateway/src/engine/handle.rs
@@ -4,6 +4,7 @@
 use super::orders::ORDERS;
 use crate::figures::Tally;
 use crate::fleet::{Asked, Call as FleetCall, Clock, Kind};
+use crate::heartbeat::Heartbeat;
 use crate::setup::{Bounds, Config};
 use bytes::Bytes;
 use decide::api::{ClassId, Key, Micros, Reason, RequestId, TenantId};
@@ -18,6 +19,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
 use upstream::call::{Answer, Call};
 use upstream::held::{Budget, Held};
 
@@ -56,7 +58,7 @@
 #[derive(Clone)]
 pub struct Handle {
     pub(super) inputs: mpsc::UnboundedSender<Input>,
-    news: mpsc::UnboundedSender<News>,
+    news: mpsc::UnboundedSender<(News, Instant)>,
     next: Rc<Cell<u64>>,
     pub(super) claims: Rc<Claims>,
     pub(super) tally: Rc<RefCell<Tally>>,
@@ -64,6 +66,8 @@
     pub(super) ready: Rc<watch::Sender<bool>>,
     pub(super) draining: Rc<watch::Sender<bool>>,
     fleet: Rc<OnceCell<Joined>>,
+    /// How late this thread runs.
+    pub heartbeat: Rc<Heartbeat>,
 }
 
 /// What callers see of the fleet.
@@ -110,13 +114,14 @@
 impl Handle {
     /// The handle of a core that takes its inputs at the other end.
     pub(super) fn new(
-        inputs: mpsc::UnboundedSender<Input>, news: mpsc::UnboundedSender<News>, config: &Config,
+        inputs: mpsc::UnboundedSender<Input>, news: mpsc::UnboundedSender<(News, Instant)>, config: &Config,
     ) -> Self {
         let (next, ready, draining, fleet) = Default::default();
         let claims = Rc::new(Claims::new(&config.bounds));
         let budget = Budget::new(config.bounds.held_bytes);
         let tally = Rc::new(RefCell::new(Tally::new(config.settings.classes.len())));
-        Self { inputs, news, next, claims, tally, budget, ready, draining, fleet }
+        let heartbeat = Rc::new(Heartbeat::new(Instant::now()));
+        Self { inputs, news, next, claims, tally, budget, ready, draining, fleet, heartbeat }
     }
 
     /// Hands a request over; none is taken while another with its client's id is open. Guards against a second run
@@ -160,7 +165,7 @@
 
     /// Tells the core what is heard of discovery, ahead of all that waits.
     pub fn hear(&self, news: News) {
-        let _ = self.news.send(news);
+        let _ = self.news.send((news, Instant::now()));
     }
 
     /// The figures, as staff fetch them; none if the core is gone.
--- /dev/null
+++ b/crates/gateway/src/heartbeat.rs
@@ -0,0 +1,69 @@
+//! The heartbeat of the thread: how late it comes to what it waits for.
+//!
+//! The program is one thread, and a process may be held up: by the system, or by a long piece of its own work. Nothing is
+//! read meanwhile. A timer that falls due every [`BEAT`] shows for how long: it runs that much late. [`Heartbeat`] keeps the
+//! figures, and knows no timer; [`beat`] is the driver.
+
+use seldom::Seldom;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until};
+
+/// How often the timer falls due. What it costs is some 40 wake-ups a second; what is known of a hold-up is exact to this.
+pub const BEAT: Duration = Duration::from_millis(25);
+/// A delay of the timer from which on a hold-up is logged: a tenth of the grace that drains leave.
+const LOGGED: Duration = Duration::from_millis(25);
+
+/// How late the thread runs.
+#[derive(Debug)]
+pub struct Heartbeat {
+    /// When the timer falls due next.
+    due: Cell<Instant>,
+    /// The longest delay since the last report.
+    longest: Cell<Duration>,
+    lines: Seldom,
+}
+
+impl Heartbeat {
+    /// A heartbeat that begins now.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self { due: Cell::new(now + BEAT), longest: Cell::default(), lines: Seldom::default() }
+    }
+
+    /// When the timer falls due next.
+    #[must_use]
+    pub fn due(&self) -> Instant {
+        self.due.get()
+    }
+
+    /// Takes in that the timer has run: yields how late it was, and is due again a beat later.
+    pub fn ran(&self, now: Instant) -> Duration {
+        let late = now.saturating_duration_since(self.due.get());
+        self.longest.set(self.longest.get().max(late));
+        self.due.set(now + BEAT);
+        late
+    }
+
+    /// The longest delay since the last call.
+    pub fn take_longest(&self) -> Duration {
+        self.longest.take()
+    }
+}
+
+/// Runs the timer for as long as the program does.
+pub async fn beat(heartbeat: Rc<Heartbeat>) {
+    loop {
+        sleep_until(heartbeat.due()).await;
+        // What the same wake-up has brought is read first: it may have come during the hold-up.
+        yield_now().await;
+        let late = heartbeat.ran(Instant::now());
+        if late >= LOGGED
+            && let Some(more) = heartbeat.lines.line()
+        {
+            log::info!("the thread was held up for {late:?}{more}");
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod figures;
 pub mod fleet;
+pub mod heartbeat;
 pub mod order_file;
 pub mod setup;
 
--- a/crates/upstream/src/peer/exchange.rs
+++ b/crates/upstream/src/peer/exchange.rs
@@ -72,6 +72,8 @@
     pub(super) refused: Seldom,
     none_to_spare: Seldom,
     pub(super) no_room: Seldom,
+    /// Answers given after their time.
+    pub late: Seldom,
 }
 
 /// How a try ended.
