--- a/crates/spindlebeam/tests/fleet_freeze.rs
+++ b/crates/spindlebeam/tests/fleet_freeze.rs
@@ -265,6 +265,7 @@
         kind: kind.into(),
         phase: Phase::Ready,
         weight: 1.0,
+        ids: 1,
     };
     let links = it.to_hosts.iter().enumerate();
     let mut members: Vec<_> = links.map(|(n, link)| member(fleet.host(n).name(), link.addr(), "m")).collect();
--- /dev/null
+++ b/crates/spindlebeam/tests/large_lists.rs
@@ -0,0 +1,41 @@
+//! Lists of as many endpoints as the largest fleets have: what they say of drains is in force within the grace.
+
+use serde_json::json;
+use std::time::Duration;
+use testfleet::fleet::Fleet;
+use testfleet::inventory::{Form, Phase};
+
+/// Cache hosts, and the ids under which each is listed: 3,200 endpoints, the most of the standing test.
+const HOSTS: usize = 16;
+const IDS: usize = 200;
+/// Requests a second, and in all: some two seconds of them.
+const RATE: f64 = 400.0;
+const REQUESTS: usize = 900;
+
+/// A whole list on the open watch has a quarter of the endpoints drain; nothing new goes there 0.25 s behind its last byte.
+#[test]
+fn a_drain_in_a_list_of_3_200_endpoints_is_in_force_within_the_grace() {
+    let (whole, indented, piece) = (true, true, Some(256));
+    let fleet =
+        Fleet::builder(env!("CARGO_BIN_EXE_spindlebeam")).folder(env!("CARGO_TARGET_TMPDIR")).seed(39);
+    let fleet = fleet.balancers(1).hosts(HOSTS).ids(IDS);
+    let fleet = fleet.overrides(json!({"limits": {"sockets": 256}})).start().unwrap();
+    fleet.clients().ask(fleet.load(&["read"], RATE, REQUESTS));
+    fleet.clients().sent(100);
+    fleet.balancer(0).agent.speak(Form { indented, whole, piece });
+    let drained = HOSTS / 4;
+    fleet.change_all(0..drained, Phase::Draining);
+    let told = fleet.told_of(0, drained - 1, Phase::Draining);
+    fleet.clients().answered(REQUESTS);
+    let verdict = fleet.judge();
+    let sent_to = |hosts: std::ops::Range<usize>| {
+        let names: Vec<&str> = hosts.map(|number| fleet.host(number).name()).collect();
+        let behind = told + Duration::from_millis(300);
+        fleet
+            .tries()
+            .look(|all| all.iter().filter(|it| it.at > behind && names.contains(&&it.host[..])).count())
+    };
+    assert_eq!(sent_to(0..drained), 0, "sent to draining endpoints 0.3 s behind the list: {verdict}");
+    verdict.assert_clean();
+    assert!(sent_to(drained..HOSTS) > 100, "others are used behind it: {verdict}");
+}
--- a/crates/testfleet/src/clients.rs
+++ b/crates/testfleet/src/clients.rs
@@ -74,8 +74,12 @@
     pub class: String,
     /// The balancer that was asked.
     pub balancer: usize,
-    /// When it was sent.
+    /// When it was begun.
     pub at: Instant,
+    /// When its last byte was written; never, where that did not come about.
+    pub asked: Option<Instant>,
+    /// The time that it gave, from then on.
+    pub deadline: Duration,
     /// Final answers: one, unless something is wrong.
     pub answers: Vec<(Instant, Final)>,
 }
@@ -199,7 +203,8 @@
         let number = self.ids.fetch_add(1, Ordering::Relaxed);
         let (id, balancer, class) = (format!("{number:016x}"), question.balancer, question.class.clone());
         let idle = self.connection(balancer);
-        let call = Call { id: id.clone(), class, balancer, at: Instant::now(), answers: Vec::new() };
+        let (at, asked, deadline, answers) = (Instant::now(), None, question.deadline, Vec::new());
+        let call = Call { id: id.clone(), class, balancer, at, asked, deadline, answers };
         let place = self.calls.push(call);
         let asked = async {
             let mut reader = match idle {
@@ -208,6 +213,7 @@
             };
             reader.get_ref().set_nodelay(true)?;
             reader.get_mut().write_all(&command(&question, &id)).await?;
+            self.calls.change(place, |call| call.asked = Some(Instant::now()));
             let answer = read(&mut reader).await?;
             io::Result::Ok((reader, answer))
         };
--- a/crates/testfleet/src/config.rs
+++ b/crates/testfleet/src/config.rs
@@ -59,6 +59,19 @@
     config
 }
 
+/// Lays values over a configuration, object by object; nothing where they are null.
+pub fn lay_over(config: &mut Value, overrides: &Value) {
+    match (config, overrides) {
+        (_, Value::Null) => {}
+        (Value::Object(fields), Value::Object(overrides)) => {
+            for (name, value) in overrides {
+                lay_over(fields.entry(name).or_insert(Value::Null), value);
+            }
+        }
+        (field, value) => *field = value.clone(),
+    }
+}
+
 /// A line of the fleet file.
 #[derive(Debug, Clone)]
 pub struct Listed {
--- a/crates/testfleet/src/fleet.rs
+++ b/crates/testfleet/src/fleet.rs
@@ -135,6 +135,11 @@
     pub fn change(&self, host: usize, phase: Phase) {
         self.balancers.iter().for_each(|it| it.agent.change(self.hosts[host].name(), phase));
     }
+    /// Tells all agents that these hosts have changed, in one list.
+    pub fn change_all(&self, hosts: std::ops::Range<usize>, phase: Phase) {
+        let names: Vec<&str> = self.hosts[hosts].iter().map(Host::name).collect();
+        self.balancers.iter().for_each(|it| it.agent.change_all(&names, phase));
+    }
     /// Waits until a balancer has been told so.
     ///
     /// # Panics
--- a/crates/testfleet/src/inventory.rs
+++ b/crates/testfleet/src/inventory.rs
@@ -54,12 +54,40 @@
     pub phase: Phase,
     /// Its listed weight.
     pub weight: f64,
+    /// Under how many ids it is listed: a stand-in for as many endpoints, which change together.
+    pub ids: usize,
 }
 
 impl Member {
-    fn json(&self) -> Value {
-        json!({"id": self.name, "host_port": self.addr.to_string(), "locality": self.zone, "flavor": self.kind,
-               "cell": 0, "phase": self.phase.word(), "size": self.weight, "up_since_ms": 0})
+    fn entries(&self) -> impl Iterator<Item = Value> {
+        (0..self.ids).map(|number| {
+            let id = if self.ids == 1 { self.name.clone() } else { format!("{}-{number}", self.name) };
+            json!({"id": id, "host_port": self.addr.to_string(), "locality": self.zone, "flavor": self.kind,
+                   "cell": 0, "phase": self.phase.word(), "size": self.weight, "up_since_ms": 0})
+        })
+    }
+}
+
+/// A list, or a change of it, as discovery words it.
+fn list(revision: usize, complete: bool, members: &[Member]) -> Value {
+    let members: Vec<_> = members.iter().flat_map(Member::entries).collect();
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+/// In what form an agent tells lists on its watches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Form {
+    /// Over several lines.
+    pub indented: bool,
+    /// The whole list in place of each change.
+    pub whole: bool,
+    /// In pieces of so many bytes; in one, where there is none.
+    pub piece: Option<usize>,
+}
+
+impl Form {
+    fn worded(self, list: &Value) -> String {
+        if self.indented { format!("{list:#}") } else { list.to_string() }
     }
 }
 
@@ -87,6 +115,7 @@
     /// Watches of a lower number say nothing any more.
     silent_below: u64,
     watches: u64,
+    form: Form,
 }
 
 /// The agent of one balancer.
@@ -115,8 +144,9 @@
     ) -> io::Result<Self> {
         let listener = listen(handle, any_port())?;
         let addr = listener.local_addr()?;
+        let form = Form::default();
         let state =
-            State { first: members, changes: Vec::new(), held_from: None, silent_below: 0, watches: 0 };
+            State { first: members, changes: Vec::new(), held_from: None, silent_below: 0, watches: 0, form };
         let (state, changed, asked) = (Mutex::new(state), watch::Sender::new(()), Journal::default());
         let shared = Arc::new(Shared { balancer, state, changed, asked, told });
         handle.spawn(Arc::clone(&shared).accept(listener));
@@ -137,21 +167,28 @@
     pub fn list(&self) -> Value {
         self.shared.state().list()
     }
+    /// In what form it tells lists from now on.
+    pub fn speak(&self, form: Form) {
+        self.shared.state().form = form;
+    }
     /// Changes a member's phase.
     pub fn change(&self, name: &str, phase: Phase) {
-        self.update(name, |member| member.phase = phase);
+        self.change_all(&[name], phase);
     }
-    /// Changes a member in any way.
-    pub fn update(&self, name: &str, update: impl FnOnce(&mut Member)) {
+    /// Changes the phase of several members in one list.
+    pub fn change_all(&self, names: &[&str], phase: Phase) {
         let mut state = self.shared.state();
-        let now = state.behind(state.changes.len());
-        if let Some(mut member) = now.into_iter().find(|member| member.name == name) {
-            update(&mut member);
-            state.changes.push(member);
+        for name in names {
+            state.update(name, |member| member.phase = phase);
         }
         drop(state);
         self.shared.changed.send_replace(());
     }
+    /// Changes a member in any way.
+    pub fn update(&self, name: &str, update: impl FnOnce(&mut Member)) {
+        self.shared.state().update(name, update);
+        self.shared.changed.send_replace(());
+    }
     /// Holds back what changes from now on.
     pub fn hold_back(&self) {
         let mut state = self.shared.state();
@@ -171,6 +208,13 @@
 }
 
 impl State {
+    fn update(&mut self, name: &str, update: impl FnOnce(&mut Member)) {
+        let now = self.behind(self.changes.len());
+        if let Some(mut member) = now.into_iter().find(|member| member.name == name) {
+            update(&mut member);
+            self.changes.push(member);
+        }
+    }
     /// Changes that may be told.
     fn open(&self) -> usize {
         self.held_from.unwrap_or(self.changes.len())
@@ -186,8 +230,16 @@
         self.behind(self.open())
     }
     fn list(&self) -> Value {
-        let members = self.shown().into_iter().filter(|it| it.phase != Phase::Gone).map(|it| it.json());
-        json!({"revision": self.open() + 1, "complete": true, "members": members.collect::<Vec<_>>()})
+        let listed = self.shown().into_iter().filter(|it| it.phase != Phase::Gone);
+        list(self.open() + 1, true, &listed.collect::<Vec<_>>())
+    }
+    /// The line that a watch tells next, behind so many changes.
+    fn line(&self, news: &[Member]) -> String {
+        match news {
+            [] => String::new(),
+            _ if self.form.whole => self.form.worded(&self.list()),
+            _ => self.form.worded(&list(self.open() + 1, false, news)),
+        }
     }
 }
 
@@ -223,7 +275,7 @@
         let Some(from) = from else {
             let (list, shown) = {
                 let state = self.state();
-                (state.list().to_string(), state.shown())
+                (state.form.worded(&state.list()), state.shown())
             };
             self.asked.push(path);
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
@@ -244,21 +296,19 @@
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         self.asked.push(path);
         loop {
-            let (silent, news, revision) = {
+            let (silent, news, line, open, piece) = {
                 let state = self.state();
                 let news = state.changes[..state.open()].get(next..).unwrap_or_default().to_vec();
-                (number < state.silent_below, news, state.open() + 1)
+                let line = state.line(&news);
+                (number < state.silent_below, news, line, state.open(), state.form.piece)
             };
             if !silent {
-                let line = if news.is_empty() {
-                    String::new()
-                } else {
-                    let members: Vec<_> = news.iter().map(Member::json).collect();
-                    json!({"revision": revision, "complete": false, "members": members}).to_string()
-                };
-                stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).await?;
+                let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                for piece in chunk.as_bytes().chunks(piece.unwrap_or(chunk.len())) {
+                    stream.write_all(piece).await?;
+                }
                 self.tell(&news);
-                next = next.max(revision - 1);
+                next = next.max(open);
             }
             let mut end = [0];
             tokio::select! {
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -9,6 +9,8 @@
 
 /// Nothing new goes to a host this long after the balancer was told that it drains or is gone.
 pub const TOLD_WITHIN: Duration = Duration::from_millis(250);
+/// An answer may come so long after a request's time.
+pub const ANSWER_SLACK: Duration = Duration::from_millis(50);
 /// What the records of two processes on one busy machine may be off by.
 pub const MARGIN: Duration = Duration::from_millis(50);
 
@@ -53,6 +55,8 @@
     Unanswered(String),
     /// A request has more than one.
     AnsweredTwice(String),
+    /// A request had its answer so long after its time.
+    AnsweredLate(String, Duration),
     /// A request was lost at a balancer that nobody had killed, and how.
     Lost(String, String),
     /// A fragile request ran more than once: so often.
@@ -153,9 +157,23 @@
             },
             _ => verdict.violations.push(Violation::AnsweredTwice(call.id.clone())),
         }
+        verdict.violations.extend(late(evidence, call));
     }
 }
 
+/// Whether its answer came too late. Time in which the balancer was stopped as its time ran out does not count.
+fn late(evidence: &Evidence, call: &Call) -> Option<Violation> {
+    let (answered, _) = call.answers.first()?;
+    let mut until = call.asked? + call.deadline;
+    for stop in evidence.interruptions.iter().filter(|it| it.balancer == call.balancer) {
+        if stop.from <= until + ANSWER_SLACK {
+            until = until.max(stop.until.unwrap_or(*answered));
+        }
+    }
+    let by = answered.saturating_duration_since(until);
+    (by > ANSWER_SLACK + MARGIN).then(|| Violation::AnsweredLate(call.id.clone(), by))
+}
+
 /// Whether the balancer was dead at some time between these.
 fn was_killed(evidence: &Evidence, balancer: usize, from: Instant, until: Instant) -> bool {
     let dead = evidence.interruptions.iter().filter(|it| it.killed && it.balancer == balancer);
--- a/crates/testfleet/src/start.rs
+++ b/crates/testfleet/src/start.rs
@@ -12,6 +12,7 @@
 use crate::process::{Launch, Process};
 use crate::relay::{Callers, TcpLink, UdpRelay};
 use rustc_hash::FxHashMap;
+use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -23,6 +24,7 @@
     folder: PathBuf,
     balancers: usize,
     hosts: usize,
+    ids: usize,
     zones: usize,
     seed: u64,
     council: usize,
@@ -31,6 +33,7 @@
     with_peers: bool,
     args: Vec<String>,
     offsets: FxHashMap<usize, i64>,
+    overrides: Value,
 }
 
 impl Builder {
@@ -40,6 +43,7 @@
             folder: std::env::temp_dir(),
             balancers: 3,
             hosts: 4,
+            ids: 1,
             zones: 1,
             seed: 1,
             council: 3,
@@ -48,6 +52,7 @@
             with_peers: false,
             args: Vec::new(),
             offsets: FxHashMap::default(),
+            overrides: Value::Null,
         }
     }
     /// Balancers; 3 unless said.
@@ -60,6 +65,11 @@
     pub fn hosts(self, hosts: usize) -> Self {
         Self { hosts, ..self }
     }
+    /// Ids under which each cache host is listed: a stand-in for as many endpoints. One unless said.
+    #[must_use]
+    pub fn ids(self, ids: usize) -> Self {
+        Self { ids, ..self }
+    }
     /// Zones, at least one, over which balancers and hosts are dealt in turn.
     #[must_use]
     pub fn zones(self, zones: usize) -> Self {
@@ -101,6 +111,11 @@
         self.args.push(arg.to_owned());
         self
     }
+    /// Values that go over those of the configuration, object by object.
+    #[must_use]
+    pub fn overrides(self, overrides: Value) -> Self {
+        Self { overrides, ..self }
+    }
     /// What one balancer's clock is off by.
     #[must_use]
     pub fn clock_offset_ms(mut self, balancer: usize, offset: i64) -> Self {
@@ -184,13 +199,14 @@
             kind: kind.to_owned(),
             phase: Phase::Ready,
             weight: 1.0,
+            ids: if kind == NAME { 1 } else { self.ids },
         };
         let hosts = site.hosts.iter().zip(&to_hosts).enumerate();
         let mut members: Vec<_> =
             hosts.map(|(at, (host, link))| member(host.name(), link.addr(), self.zone(at), "m")).collect();
         members.push(member(NAME, to_archive.addr(), self.zone(0), NAME));
         let agent = Agent::start(handle, number, members, site.told.clone())?;
-        let config = config::platform(&config::Balancer {
+        let mut config = config::platform(&config::Balancer {
             number,
             of: self.balancers,
             discovery: agent.addr(),
@@ -199,6 +215,7 @@
             seed,
             peers: (self.with_peers && !self.with_fleet).then(|| addresses.to_vec()),
         });
+        config::lay_over(&mut config, &self.overrides);
         let home = folder.join(format!("n{number}"));
         let mut launch =
             Launch { program: self.program.clone(), args: self.args.clone(), ..Launch::default() };
--- a/crates/testfleet/tests/referee.rs
+++ b/crates/testfleet/tests/referee.rs
@@ -10,9 +10,13 @@
     Duration::from_millis(n)
 }
 
+/// The time that calls give.
+const DEADLINE: Duration = ms(1_000);
+
 fn call(id: &str, at: Instant, answers: &[(u64, Final)]) -> Call {
     let answers = answers.iter().map(|(after, answer)| (at + ms(*after), answer.clone())).collect();
-    Call { id: id.into(), class: "once".into(), balancer: 1, at, answers }
+    let (asked, deadline) = (Some(at), DEADLINE);
+    Call { id: id.into(), class: "once".into(), balancer: 1, at, asked, deadline, answers }
 }
 
 fn attempt(id: &str, host: &str, at: Instant, took: Option<u64>) -> Try {
@@ -127,3 +131,19 @@
 fn records_that_are_not_whole_are_no_proof() {
     assert_eq!(violations(&Evidence { left_out: 3, ..Evidence::default() }), [Violation::RecordsLeftOut(3)]);
 }
+
+#[test]
+fn an_answer_after_its_time_is_late_unless_the_balancer_was_stopped_then() {
+    let at = Instant::now();
+    let calls =
+        vec![call("in time", at, &[(1_090, Final::Refused)]), call("late", at, &[(1_400, Final::Refused)])];
+    let mut evidence = Evidence { calls, ..Evidence::default() };
+    let late = |by| vec![Violation::AnsweredLate("late".into(), ms(by))];
+    assert_eq!(violations(&evidence), late(400));
+    evidence.interruptions = vec![interruption(false, at, Some(at + ms(500)))];
+    assert_eq!(violations(&evidence), late(400), "it was over by then");
+    evidence.interruptions = vec![interruption(false, at + ms(900), Some(at + ms(1_200)))];
+    assert_eq!(violations(&evidence), late(200));
+    evidence.interruptions = vec![interruption(false, at + ms(900), Some(at + ms(1_350)))];
+    assert_eq!(violations(&evidence), []);
+}
--- a/crates/testfleet/tests/stand_ins.rs
+++ b/crates/testfleet/tests/stand_ins.rs
@@ -113,6 +113,7 @@
         kind: "m".into(),
         phase: Phase::Ready,
         weight: 1.0,
+        ids: 1,
     };
     let agent = Agent::start(ground.handle(), 4, vec![member], told.clone()).unwrap();
     let mut watch = connect(agent.addr());
