Count a request's time from when it came, also where the process was held up meanwhile

Ruled out by the records: a list or burst of our own work then, a request that the module forgot, a slow write, a close of ours. At fault: front/request.rs and Engine::arrived, which took d from their own reading of the clock: once as the bytes were read, and again as the core came to the request. The class: time counted from when the thread looks, not from when the thing came. Change: a heartbeat each 25 ms tells how long the thread has been held up (exact to a beat); what is read then counts as that old, on a connection that was accepted just then as well; the deadline goes with the request from there on. One whose time is over as the core comes to it is refused unsent. SIGTERM counts from before the hold-up too. Worse: a request read right behind a hold-up may be taken for up to 0.15 s older than it is, and be refused that much early.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -72,6 +72,10 @@
     value_until: Option<Instant>,
     /// The room for a large value under way.
     room: Option<Held>,
+    /// How long before it was read the latest input may have come.
+    input_age: Duration,
+    /// How long the thread had been held up as the connection was accepted.
+    age_at_accept: Duration,
     /// Bytes still to come of a large value for which there was no room: read and thrown away.
     skip: usize,
     close_signal: Rc<Notify>,
@@ -111,6 +115,7 @@
     pub(crate) fn new(
         front: Rc<Front>, stream: TcpStream, id: ConnectionId, close_signal: Rc<Notify>, patience: Patience,
     ) -> Self {
+        let age_at_accept = front.handle.heartbeat.overdue(Instant::now());
         Self {
             front,
             stream,
@@ -123,6 +128,8 @@
             patience: Duration::from_micros(patience.0),
             value_until: None,
             room: None,
+            input_age: Duration::ZERO,
+            age_at_accept,
             skip: 0,
             close_signal,
             slot_state: SlotState::Awaits,
--- a/crates/front/src/client/commands.rs
+++ b/crates/front/src/client/commands.rs
@@ -4,7 +4,7 @@
 use crate::request::{self, Asked};
 use crate::shutdown::Stage;
 use bytes::{Buf, Bytes};
-use gateway::Held;
+use gateway::{Held, heartbeat};
 use proto::resp::Command;
 use proto::{ProtoError, resp};
 use std::time::Duration;
@@ -17,6 +17,7 @@
 impl Client {
     /// Something has been read.
     pub(super) fn take_in_bytes(&mut self) {
+        self.input_age = self.age_of_input();
         if self.value_until.is_some() {
             self.awaited_since = Some(Instant::now()); // a value that goes on coming is waited for
         }
@@ -31,6 +32,20 @@
         self.read_commands();
     }
 
+    /// How long ago what was just read may have come: as long as the thread has been held up, or was as it accepted the
+    /// connection a moment ago.
+    fn age_of_input(&self) -> Duration {
+        let age = self.front.handle.heartbeat.overdue(Instant::now());
+        let fresh = self.opened.elapsed() < heartbeat::BEAT;
+        if fresh { age.max(self.age_at_accept) } else { age }
+    }
+
+    /// When the last byte of a command that is read now came. What waited in our memory behind other commands has not aged.
+    fn received(&self) -> Instant {
+        let now = Instant::now();
+        now.checked_sub(self.input_age).unwrap_or(now)
+    }
+
     /// Looks at a command that is not whole: one whose value is large needs room before it is read on. An answer, if the
     /// command has come to its end by it.
     fn unfinished(&mut self) -> Option<Reply> {
@@ -49,7 +64,7 @@
         }
         let mut command = unfinished.words;
         command.0.push(Bytes::new()); // in place of the value, so that it can be read
-        let Asked::Request(incoming) = request::read(&command, &self.front.names) else {
+        let Asked::Request(incoming) = request::read(&command, &self.front.names, self.received()) else {
             return Some(self.malformed(ProtoError::TooLong("command"))); // no other has a large word
         };
         let missing = unfinished.bytes.saturating_sub(self.input.len());
@@ -100,7 +115,7 @@
     }
 
     fn reply_to(&mut self, command: &Command, room: Option<Held>, stage: Stage) -> Reply {
-        match request::read(command, &self.front.names) {
+        match request::read(command, &self.front.names, self.received()) {
             Asked::Request(incoming) if stage >= Stage::Shedding => {
                 self.front.handle.shed(incoming.class);
                 line(REFUSED)
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -187,10 +187,9 @@
         let close_signal = Rc::new(Notify::new());
         self.close_signals.borrow_mut().insert(id, close_signal.clone());
         let patience = self.decide(|places, now| places.enter(now, id, address));
+        let client = client::Client::new(self.clone(), stream, id, close_signal, patience);
         tokio::task::spawn_local(async move {
-            if let Err(error) =
-                client::Client::new(self.clone(), stream, id, close_signal, patience).run().await
-            {
+            if let Err(error) = client.run().await {
                 log::debug!("client {}: {error}", id.0);
             }
             self.close_signals.borrow_mut().remove(&id);
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -7,6 +7,7 @@
 use proto::resp::Command;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// The longest time that a request may name: ten minutes. No class waits that long.
 const LONGEST_MS: f64 = 600_000.0;
@@ -26,12 +27,12 @@
     Refused(&'static str),
 }
 
-/// Reads a command.
+/// Reads a command whose last byte came then.
 #[must_use]
-pub(crate) fn read(command: &Command, names: &Names) -> Asked {
+pub(crate) fn read(command: &Command, names: &Names, received: Instant) -> Asked {
     let word = command.0[0].to_ascii_uppercase();
     match &word[..] {
-        b"CACHE.GET" | b"CACHE.SET" => match request(command, word == b"CACHE.SET", names) {
+        b"CACHE.GET" | b"CACHE.SET" => match request(command, word == b"CACHE.SET", names, received) {
             Ok(incoming) => Asked::Request(incoming),
             Err(why) => Asked::Refused(why),
         },
@@ -47,7 +48,9 @@
     !text.is_empty() && text.iter().all(u8::is_ascii_graphic)
 }
 
-fn request(command: &Command, write: bool, names: &Names) -> Result<Incoming, &'static str> {
+fn request(
+    command: &Command, write: bool, names: &Names, received: Instant,
+) -> Result<Incoming, &'static str> {
     let words = &command.0;
     if words.len() != if write { 5 } else { 4 } {
         return Err("wrong number of arguments");
@@ -85,7 +88,8 @@
         class: class.ok_or("no class")?,
         tenant,
         key: Some(Key(number)),
-        time_left: Duration::from_secs_f64(ms / 1e3),
+        received,
+        time: Duration::from_secs_f64(ms / 1e3),
         held: None,
         call: Rc::new(Call {
             command: words[0].clone(),
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -344,6 +344,7 @@
     use decide::api::{Class, ClassId, Effect, Key, Settings, TenantId};
     use std::rc::Rc;
     use std::time::Duration;
+    use tokio::time::Instant;
     use upstream::call::{Answer, Call};
 
     pub(super) fn config() -> Config {
@@ -387,9 +388,11 @@
         let word = Bytes::from(format!("{n:x}"));
         let (command, key, id, options) = (word.clone(), word.clone(), word.clone(), word);
         let call = Rc::new(Call { command, key, id, options, time_at: 0..0, value: None });
-        let time_left = Duration::from_secs(60);
+        let (received, time) = (Instant::now(), Duration::from_secs(60));
         let (class, tenant) = (ClassId(0), TenantId(0));
-        handle.submit(Incoming { class, tenant, key: Some(Key(n)), time_left, call, held: None }).unwrap()
+        handle
+            .submit(Incoming { class, tenant, key: Some(Key(n)), received, time, call, held: None })
+            .unwrap()
     }
 
     #[tokio::test(start_paused = true)]
--- a/crates/gateway/src/engine/context.rs
+++ b/crates/gateway/src/engine/context.rs
@@ -37,6 +37,8 @@
     pub(super) out: Vec<(u16, oneshot::Sender<()>)>,
     /// Whether its answer has begun to come, and was given to its client.
     pub(super) streams: bool,
+    /// Whether the guard behind its deadline has come late once.
+    guarded_late: bool,
     /// Its timers that have not fallen due. Guards memory: they go with the context, not at their time.
     timers: Vec<delay_queue::Key>,
 }
@@ -54,6 +56,7 @@
 
 impl Engine {
     pub(super) fn arrived(&mut self, id: RequestId, mut incoming: Incoming, owed: Owed) {
+        let taken = Instant::now();
         let Owed { answer, still: owed } = owed;
         if !owed.get() {
             self.handle.tally.borrow_mut().left += 1; // its client left before the core came to it
@@ -64,7 +67,12 @@
             return refuse_unseen(&self.handle.tally, incoming.class, Reason::Fenced, answer);
         }
         // Guards places for requests: no client may have one kept for minutes.
-        incoming.time_left = incoming.time_left.min(self.bounds.longest);
+        let deadline = incoming.received + incoming.time.min(self.bounds.longest);
+        let time_left = deadline.saturating_duration_since(taken);
+        if time_left.is_zero() && !incoming.time.is_zero() {
+            self.count_refused();
+            return refuse_unseen(&self.handle.tally, incoming.class, Reason::Deadline, answer);
+        }
         if let Some(value) = incoming.call.value.as_ref().filter(|_| incoming.held.is_none()) {
             incoming.held = self.handle.budget.hold(value.len());
             if incoming.held.is_none() {
@@ -79,23 +87,17 @@
             tenant: incoming.tenant,
             key: incoming.key,
             write: incoming.call.value.is_some(),
-            time_left_us: incoming.time_left.as_micros() as Micros,
+            time_left_us: time_left.as_micros() as Micros,
         };
-        let taken = Instant::now();
         let client_id = String::from_utf8_lossy(&incoming.call.id);
-        log::debug!(
-            "request {}: {client_id}, class {}, {:?} left",
-            id.0,
-            incoming.class.0,
-            incoming.time_left
-        );
+        log::debug!("request {}: {client_id}, class {}, {:?} left", id.0, incoming.class.0, time_left);
         let context = RequestContext {
             call: incoming.call,
             _held: incoming.held,
             class: incoming.class,
             effect: self.effects.get(incoming.class.0 as usize).copied().unwrap_or(Effect::Fragile),
             taken,
-            deadline: taken + incoming.time_left,
+            deadline,
             answer: Some(answer),
             owed,
             attempts: 0,
@@ -103,7 +105,8 @@
             maybe_ran: Vec::new(),
             out: Vec::new(),
             streams: false,
-            timers: vec![self.timers.insert(Due::Overdue(id), incoming.time_left + OVERDUE)],
+            timers: vec![self.timers.insert(Due::Overdue(id), time_left + OVERDUE)],
+            guarded_late: false,
         };
         self.contexts.insert(id, context);
         self.events.push_back(Event::Request(request));
@@ -199,10 +202,16 @@
 
     /// Guards the rule that none is lost against a request that the module forgot: found by nothing so far.
     pub(super) fn overdue(&mut self, id: RequestId) {
-        if self.contexts.get(&id).is_some_and(|context| context.answer.is_some()) {
-            log::error!("request {} had no answer at its deadline", id.0);
-            self.fail_for(id, Reason::Forgotten);
+        let Some(context) = self.contexts.get_mut(&id).filter(|context| context.answer.is_some()) else {
+            return;
+        };
+        // Guards against blaming the module for a hold-up: its own timers, and those of tries, are as late, and come first now.
+        if context.deadline.elapsed() >= 2 * OVERDUE && !std::mem::replace(&mut context.guarded_late, true) {
+            return context.timers.push(self.timers.insert(Due::Overdue(id), OVERDUE));
         }
+        let client_id = String::from_utf8_lossy(&context.call.id);
+        log::error!("request {} ({client_id}) had no answer at its deadline", id.0);
+        self.fail_for(id, Reason::Forgotten);
     }
 
     /// Fails an open request without the module.
--- a/crates/gateway/src/engine/handle.rs
+++ b/crates/gateway/src/engine/handle.rs
@@ -32,8 +32,10 @@
     pub tenant: TenantId,
     /// What it is about.
     pub key: Option<Key>,
-    /// How long its client will wait from now on.
-    pub time_left: Duration,
+    /// When its last byte came.
+    pub received: Instant,
+    /// How long its client waits from then on.
+    pub time: Duration,
     /// What is passed on.
     pub call: Rc<Call>,
     /// The room for its value, where the front has taken some.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -3,6 +3,8 @@
 //! The program is one thread, and a process may be held up: by the system, or by a long piece of its own work. Nothing is
 //! read meanwhile. A timer that falls due every [`BEAT`] shows for how long: it runs that much late. [`Heartbeat`] keeps the
 //! figures, and knows no timer; [`beat`] is the driver.
+//!
+//! What is read now may have come so long ago ([`Heartbeat::overdue`]): the time that a request gives counts from when it came.
 
 use seldom::Seldom;
 use std::cell::Cell;
@@ -13,6 +15,8 @@
 
 /// How often the timer falls due. What it costs is some 40 wake-ups a second; what is known of a hold-up is exact to this.
 pub const BEAT: Duration = Duration::from_millis(25);
+/// Timers are exact to a millisecond, and a wake-up takes a part of one.
+const TICK: Duration = Duration::from_millis(2);
 /// A delay of the timer from which on a hold-up is logged: a tenth of the grace that drains leave.
 const LOGGED: Duration = Duration::from_millis(25);
 
@@ -39,6 +43,14 @@
         self.due.get()
     }
 
+    /// How long the timer has been overdue: what is read now came no earlier than that ago, but for a beat. None in a thread
+    /// that keeps up, whose timer is off by a tick of the clock at most.
+    #[must_use]
+    pub fn overdue(&self, now: Instant) -> Duration {
+        let late = now.saturating_duration_since(self.due.get());
+        if late >= TICK { late } else { Duration::ZERO }
+    }
+
     /// Takes in that the timer has run: yields how late it was, and is due again a beat later.
     pub fn ran(&self, now: Instant) -> Duration {
         let late = now.saturating_duration_since(self.due.get());
--- a/crates/gateway/tests/left.rs
+++ b/crates/gateway/tests/left.rs
@@ -9,7 +9,8 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
-use upstream::call::Call;
+use tokio::time::Instant;
+use upstream::call::{Answer, Call};
 
 const MINUTE: Duration = Duration::from_secs(60);
 
@@ -46,11 +47,26 @@
 }
 
 fn submitted(handle: &Handle, word: &'static str) -> Ticket {
+    submitted_late(handle, word, Duration::ZERO)
+}
+
+/// A request that came so long ago.
+fn submitted_late(handle: &Handle, word: &'static str, ago: Duration) -> Ticket {
     let word = Bytes::from_static(word.as_bytes());
     let (command, key, id, options) = (word.clone(), word.clone(), word.clone(), word);
     let call = Rc::new(Call { command, key, id, options, time_at: 0..0, value: None });
     let (class, tenant, key) = (ClassId(0), TenantId(0), Some(Key(1)));
-    handle.submit(Incoming { class, tenant, key, time_left: MINUTE, call, held: None }).unwrap()
+    handle
+        .submit(Incoming {
+            class,
+            tenant,
+            key,
+            received: Instant::now() - ago,
+            time: MINUTE,
+            call,
+            held: None,
+        })
+        .unwrap()
 }
 
 #[tokio::test]
@@ -95,3 +111,15 @@
     }
     assert!(host.accept().is_err(), "it is not dialled");
 }
+
+#[tokio::test]
+async fn a_request_whose_time_is_over_as_the_core_comes_to_it_is_refused_unsent() {
+    let host = TcpListener::bind("127.0.0.1:0").unwrap();
+    host.set_nonblocking(true).unwrap();
+    let (engine, handle) = Engine::new(&config(&host));
+    let over = submitted_late(&handle, "over", MINUTE);
+    let tasks = tokio::task::LocalSet::new();
+    tasks.spawn_local(engine.run());
+    assert!(matches!(tasks.run_until(over).await, Answer::Refused(0)));
+    assert!(host.accept().is_err(), "its host is not dialled");
+}
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -167,7 +167,9 @@
         ended = group => bail!("the watch of discovery has stopped: {ended:?}"),
         ended = reload => bail!("rereading the configuration has stopped: {ended:?}"),
     }
-    let terminated = Instant::now();
+    let now = Instant::now();
+    // The platform counts from when it sent the signal.
+    let terminated = now.checked_sub(handle.heartbeat.overdue(now)).unwrap_or(now);
     let ends = terminated + bounds.longest.min(GIVEN) + LAST_ANSWER;
     let replaced = match shared {
         Some(shared) => shared.has_successor().await,
