Read lists in large pieces, look at each byte once, and bound what follows a whole list

Seen: with 3,200 endpoints, a whole list that has a quarter of them drain: 46 and 47 requests to draining endpoints later than 0.3 s behind its last byte (debug build, indented, pieces of 256 bytes), the run took 11.6 s. Ruled out: attempts under way (exchange.rs looks at the endpoint right before its first byte). At fault: discovery/call.rs read into an empty BytesMut, which is 64 bytes at a time; proto::discovery::next_line began its line anew behind each read, so that the cost was bytes times reads; MAX_LIST of 1 MiB refused 4,800 members for good; UpstreamGroup::apply wrote a log line for each of some thousand changes; dial_listed dialled up to half of all descriptors. The class: work on the one thread that grows with an input, so that what was notified is acted on late. Change: reads of 16 KiB, others have a turn behind four; LineReader scans each byte once (actson), whatever the pieces and lines, then reads the list; MAX_LIST is derived from the largest fleet (6.25 MiB); errors name what is wrong and where, a whole list with a member twice is one of them; a list that cannot be used is asked for again at 0.2 to 1.6 s; 32 changes are logged one by one, more are counted; fleets over 256 endpoints are not dialled ahead. Worse: the first request to an endpoint of a large fleet waits for its handshake.

--- a/crates/discovery/src/call.rs
+++ b/crates/discovery/src/call.rs
@@ -2,12 +2,20 @@
 
 use anyhow::{Result, bail, ensure};
 use bytes::BytesMut;
-use proto::discovery::{self, Line, List, MAX_LIST};
+use futures_util::FutureExt;
+use proto::ProtoError;
+use proto::discovery::{self, Line, LineReader, List, ListError, MAX_LIST};
 use proto::http::{self, Decoder, Piece, Whole};
 use std::net::SocketAddr;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
+/// Bytes that are read at a time.
+const READ: usize = 16 * 1024;
+/// Reads of a list behind which others have a turn: a list of the largest fleet is worked on a piece at a time.
+const READS_A_TURN: usize = 4;
+
 /// An answer of the agent that is none.
 #[derive(Debug, thiserror::Error)]
 #[error("status {0}")]
@@ -18,6 +26,11 @@
     error.downcast_ref::<Status>().is_some_and(|it| it.0 == 503 || it.0 == 429)
 }
 
+/// Whether a call or a watch failed because what it brought is no list, or one that is too long.
+pub(crate) fn unusable(error: &anyhow::Error) -> bool {
+    error.is::<ListError>() || error.is::<ProtoError>()
+}
+
 /// What it took to read a list.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Reading {
@@ -74,9 +87,20 @@
     }
 }
 
+/// Whether others have a turn behind a few reads.
+#[derive(Clone, Copy, PartialEq)]
+enum Turns {
+    Given,
+    Kept,
+}
+
 async fn read(
-    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, reading: &mut Reading,
+    stream: &mut (impl AsyncRead + Unpin), buffer: &mut BytesMut, reading: &mut Reading, turns: Turns,
 ) -> Result<()> {
+    if turns == Turns::Given && reading.reads % READS_A_TURN == READS_A_TURN - 1 {
+        yield_now().await;
+    }
+    buffer.reserve(READ);
     let read = stream.read_buf(buffer).await?;
     ensure!(read > 0, "the connection ended");
     reading.read(read);
@@ -88,7 +112,7 @@
     let (head, body) = loop {
         match whole.next(&mut buffer)? {
             Some(answer) => break answer,
-            None => read(&mut stream, &mut buffer, &mut reading).await?,
+            None => read(&mut stream, &mut buffer, &mut reading, Turns::Given).await?,
         }
     };
     ensure!(head.status == 200, Status(head.status));
@@ -103,6 +127,7 @@
     decoder: Decoder,
     buffer: BytesMut,
     lines: BytesMut,
+    reader: LineReader,
     /// Since the last line.
     reading: Reading,
 }
@@ -110,10 +135,11 @@
 impl<S: AsyncRead + Unpin> Watch<S> {
     async fn open(stream: S) -> Result<Self> {
         let (decoder, buffer, lines) = (Decoder::default(), BytesMut::new(), BytesMut::new());
-        let mut it = Self { stream, decoder, buffer, lines, reading: Reading::begin() };
+        let (reader, reading) = (LineReader::default(), Reading::begin());
+        let mut it = Self { stream, decoder, buffer, lines, reader, reading };
         loop {
             match it.decoder.next(&mut it.buffer)? {
-                None => read(&mut it.stream, &mut it.buffer, &mut it.reading).await?,
+                None => read(&mut it.stream, &mut it.buffer, &mut it.reading, Turns::Given).await?,
                 Some(Piece::Head(head)) => {
                     ensure!(head.status == 200, Status(head.status));
                     return Ok(it);
@@ -125,8 +151,17 @@
 
     /// The next line. Nothing is lost where this is dropped before it is done: what has come stays in the buffers.
     pub(crate) async fn next(&mut self) -> Result<Line> {
+        self.line(Turns::Given).await
+    }
+
+    /// The next line that has come whole already; none where it has not, or the watch is broken.
+    pub(crate) fn next_come(&mut self) -> Option<Line> {
+        self.line(Turns::Kept).now_or_never()?.ok()
+    }
+
+    async fn line(&mut self, turns: Turns) -> Result<Line> {
         loop {
-            if let Some(line) = discovery::next_line(&mut self.lines)? {
+            if let Some(line) = self.reader.next(&mut self.lines)? {
                 let reading = std::mem::replace(&mut self.reading, Reading::begin());
                 if let Line::Changed(list) = &line {
                     reading.log(list);
@@ -134,7 +169,7 @@
                 return Ok(line);
             }
             match self.decoder.next(&mut self.buffer)? {
-                None => read(&mut self.stream, &mut self.buffer, &mut self.reading).await?,
+                None => read(&mut self.stream, &mut self.buffer, &mut self.reading, turns).await?,
                 Some(Piece::Data(part)) => self.lines.extend_from_slice(&part),
                 Some(Piece::End) => bail!("the watch ended"),
                 Some(Piece::Head(_)) => bail!("a second head"),
--- a/crates/discovery/src/following.rs
+++ b/crates/discovery/src/following.rs
@@ -2,13 +2,13 @@
 //!
 //! One [`Agent`] owns all that is open to one address; `docs/design/crossings-list.md` has its states by what may come.
 
-use crate::call::{Answered, Watch, call, too_busy};
+use crate::call::{Answered, Watch, call, too_busy, unusable};
 use crate::held::Held;
-use crate::pace::{MOST_LINES, MOST_WATCHES, MOVED, Pace, Way};
+use crate::pace::{Failure, MOST_LINES, MOST_WATCHES, MOVED, Pace, Way};
 use anyhow::{Context, Result};
+use futures_util::StreamExt;
 use futures_util::future::{LocalBoxFuture, OptionFuture, select_all};
 use futures_util::stream::FuturesUnordered;
-use futures_util::{FutureExt, StreamExt};
 use proto::discovery::{Line, List, News};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -162,7 +162,7 @@
         let mut spoken = vec![(at, line)];
         let doubted = self.watches.len() > 1;
         for (from, watch) in self.watches.iter_mut().enumerate().filter(|_| doubted) {
-            let lines = std::iter::from_fn(|| watch.next().now_or_never()?.ok()).take(MOST_LINES);
+            let lines = std::iter::from_fn(|| watch.next_come()).take(MOST_LINES);
             spoken.extend(lines.map(|line| (from, line)));
         }
         let lists = spoken.into_iter().filter_map(|(from, line)| match line {
@@ -221,7 +221,8 @@
         if back {
             log::warn!("discovery: went back to revision {}; asking for the whole list", list.revision);
             self.watches.clear();
-            self.ask_at = Instant::now() + self.pace.backoff(false, Duration::ZERO, fastrand::f64());
+            self.ask_at =
+                Instant::now() + self.pace.backoff(Failure::NoAnswer, Duration::ZERO, fastrand::f64());
         }
         News::Told(list)
     }
@@ -247,8 +248,13 @@
 
     fn back_off(&mut self, error: &anyhow::Error) {
         log::warn!("discovery: {error:#}; the list stays as it is");
-        let (rejected, made) = (too_busy(error), self.asked_at.elapsed());
-        self.ask_at = Instant::now() + self.pace.backoff(rejected, made, fastrand::f64());
+        let failure = match error {
+            error if too_busy(error) => Failure::Rejected,
+            error if unusable(error) => Failure::Unusable,
+            _ => Failure::NoAnswer,
+        };
+        let made = self.asked_at.elapsed();
+        self.ask_at = Instant::now() + self.pace.backoff(failure, made, fastrand::f64());
     }
 }
 
--- a/crates/discovery/src/pace.rs
+++ b/crates/discovery/src/pace.rs
@@ -69,6 +69,17 @@
     Asked,
 }
 
+/// How a call, or a watch, has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No whole answer came.
+    NoAnswer,
+    /// Discovery is up, and turned it away.
+    Rejected,
+    /// An answer came that is no list. It may come again, and costs its reading each time.
+    Unusable,
+}
+
 /// The times that hold for one way, and the pauses between calls that failed.
 #[derive(Debug)]
 pub struct Pace {
@@ -143,11 +154,11 @@
         *self = Self::new(self.way, self.balancers);
     }
 
-    /// The pause after a call that failed, and whether discovery turned it away; it was made so long ago. `jitter` is drawn
-    /// evenly from 0 to 1.
-    pub fn backoff(&mut self, rejected: bool, made: Duration, jitter: f64) -> Duration {
+    /// The pause after a call that failed in this way; it was made so long ago. `jitter` is drawn evenly from 0 to 1.
+    pub fn backoff(&mut self, failure: Failure, made: Duration, jitter: f64) -> Duration {
         let drawn = |span: Duration| span.mul_f64(jitter + 0.5);
-        if rejected && self.way == Way::Asked {
+        let at_length = failure == Failure::Rejected && self.way == Way::Asked;
+        if at_length || failure == Failure::Unusable {
             // Those that waited together are turned away together: their waits have spread nothing.
             let waited = self.rejected.mul_f64(jitter).max(REJECTED_LEAST / 2);
             let pause = drawn(self.rejected).saturating_sub(made).max(waited);
--- a/crates/discovery/tests/pace.rs
+++ b/crates/discovery/tests/pace.rs
@@ -1,7 +1,7 @@
 //! The pauses between calls, by themselves: how soon, how often, and how far apart.
 
 use discovery::Way;
-use discovery::pace::{AGAIN, Pace, REJECTED_MOST};
+use discovery::pace::{AGAIN, Failure, Pace, REJECTED_MOST};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
         let (mut pace, mut at, mut calls) = (Pace::new(Way::Asked, balancers), Duration::ZERO, Vec::new());
         while at < Duration::from_secs(60) {
             calls.push(at);
-            at += wait + pace.backoff(true, wait, rng.f64());
+            at += wait + pace.backoff(Failure::Rejected, wait, rng.f64());
         }
         calls
     };
@@ -56,7 +56,7 @@
 #[test]
 fn a_silence_and_a_lost_call_fit_the_six_seconds() {
     let mut pace = Pace::new(Way::Asked, 300);
-    let lost = pace.answer() + pace.backoff(false, pace.answer(), 1.0);
+    let lost = pace.answer() + pace.backoff(Failure::NoAnswer, pace.answer(), 1.0);
     assert!(pace.silence(1.0) + lost + ANSWERED < TOLD);
     // A head alone costs no more than a lost call.
     assert!(pace.again() <= lost && pace.unspoken().is_none());
@@ -69,12 +69,20 @@
 #[case::pushed(Way::Pushed, AGAIN)]
 fn what_fails_is_tried_again_soon_and_success_begins_anew(#[case] way: Way, #[case] most: Duration) {
     let mut pace = Pace::new(way, 100);
-    let first = pace.backoff(false, Duration::ZERO, 0.5);
-    assert!((0..50).all(|_| pace.backoff(false, Duration::ZERO, 1.0) <= most));
+    let first = pace.backoff(Failure::NoAnswer, Duration::ZERO, 0.5);
+    assert!((0..50).all(|_| pace.backoff(Failure::NoAnswer, Duration::ZERO, 1.0) <= most));
     pace.sound();
-    assert_eq!(pace.backoff(false, Duration::ZERO, 0.5), first);
+    assert_eq!(pace.backoff(Failure::NoAnswer, Duration::ZERO, 0.5), first);
     // An agent on this machine that turns a call away has no more to do than one that fails otherwise.
-    let rejected: Vec<_> = (0..50).map(|_| pace.backoff(true, Duration::ZERO, 1.0)).collect();
+    let rejected: Vec<_> = (0..50).map(|_| pace.backoff(Failure::Rejected, Duration::ZERO, 1.0)).collect();
     let longest = if way == Way::Pushed { AGAIN } else { REJECTED_MOST.mul_f64(1.5) };
     assert!(rejected.iter().all(|pause| *pause <= longest) && rejected[0] > first);
 }
+
+#[rstest]
+fn a_list_that_cannot_be_used_is_asked_for_at_growing_pauses(#[values(Way::Pushed, Way::Asked)] way: Way) {
+    let mut pace = Pace::new(way, 1);
+    let pauses: Vec<_> =
+        (0..6).map(|_| pace.backoff(Failure::Unusable, Duration::ZERO, 0.5).as_millis()).collect();
+    assert_eq!(pauses, [200, 400, 800, 1_600, 1_600, 1_600]);
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -39,8 +39,6 @@
 
 /// How long a start waits for discovery's first list before it makes do with the one it knew.
 const FIRST_LIST: Duration = Duration::from_secs(1);
-/// From what time on a list that was slow to be in force is a warning: a part of the grace that drains leave.
-const SLOW_LIST: Duration = Duration::from_millis(50);
 
 enum Input {
     Arrived(RequestId, Incoming, handle::Owed),
@@ -77,13 +75,6 @@
     MayChange(interface::Kind, oneshot::Sender<Result<(), String>>),
 }
 
-/// Says how long a list, or changes to it, took from being handed on to being in force.
-fn log_in_force(list: &List, took: Duration) {
-    let level = if took >= SLOW_LIST { log::Level::Warn } else { log::Level::Debug };
-    let (revision, members) = (list.revision, list.members.len());
-    log::log!(level, "discovery: revision {revision}, {members} members, in force after {took:?}");
-}
-
 /// Unix time; 0 on a machine whose clock stands before 1970.
 #[must_use]
 pub fn unix_us() -> Micros {
@@ -308,11 +299,7 @@
             Input::Wrote(written) => self.keeping.wrote(self.now() / 1_000, &mut self.maintenance, written),
             Input::News(News::Watching, _) => self.awaits.list = false,
             Input::News(News::Told(list), handed_on) => {
-                self.told(&list, false);
-                self.settle();
-                log_in_force(&list, handed_on.elapsed());
-                self.awaits.list = false;
-                self.dial_listed(&list);
+                self.take_list(&list, handed_on);
             }
         }
     }
--- a/crates/gateway/src/engine/orders.rs
+++ b/crates/gateway/src/engine/orders.rs
@@ -10,6 +10,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 use tokio::task::spawn_blocking;
+use tokio::time::Instant;
 
 /// How often the orders that another process of this balancer may have been given are looked for. They are due 250 ms
 /// after that process has said yes.
@@ -20,7 +21,26 @@
 /// The file of the orders in force.
 pub(super) const ORDERS: &str = "spindlebeam-orders.json";
 
+/// From what time on a list that was slow to be in force is a warning: a part of the grace that drains leave.
+const SLOW_LIST: Duration = Duration::from_millis(50);
+
+/// Says how long a list, or changes to it, took from being handed on to being in force.
+fn log_in_force(list: &List, took: Duration) {
+    let level = if took >= SLOW_LIST { log::Level::Warn } else { log::Level::Debug };
+    let (revision, members) = (list.revision, list.members.len());
+    log::log!(level, "discovery: revision {revision}, {members} members, in force after {took:?}");
+}
+
 impl Engine {
+    /// Takes in a list of discovery, or changes to it. What it says of endpoints is in force before any of them is dialled.
+    pub(super) fn take_list(&mut self, list: &List, handed_on: Instant) {
+        self.told(list, false);
+        self.settle();
+        log_in_force(list, handed_on.elapsed());
+        self.awaits.list = false;
+        self.dial_listed(list);
+    }
+
     pub(super) fn told(&mut self, list: &List, cached: bool) {
         match self.gated(list) {
             Some(passed) => self.let_in(&passed, cached),
--- a/crates/gateway/src/engine/tries.rs
+++ b/crates/gateway/src/engine/tries.rs
@@ -11,6 +11,9 @@
 use upstream::group::{Peer, server_id};
 use upstream::peer::{self, Ended, Permit, Streamed, Try};
 
+/// The largest fleet whose peers are dialled as they are listed: the two hundred of a usual one, and room.
+const MOST_DIALLED_AHEAD: usize = 256;
+
 impl Engine {
     pub(super) fn send(&mut self, id: RequestId, server: ServerId, timeout_us: Micros) {
         let Some(context) = self.contexts.get_mut(&id) else { return };
@@ -130,8 +133,12 @@
         self.forget(id);
     }
 
-    /// The first try at a peer that was just listed must not wait for a handshake either.
+    /// The first try at a peer that was just listed must not wait for a handshake either. Not in a large fleet: most of what
+    /// was dialled there would close again unused.
     pub(super) fn dial_listed(&mut self, list: &List) {
+        if self.group.size() > MOST_DIALLED_AHEAD {
+            return;
+        }
         for member in &list.members {
             if let Some(peer) = self.group.peer(server_id(&member.id)).cloned() {
                 self.dial_ahead(&peer);
--- a/crates/proto/src/discovery.rs
+++ b/crates/proto/src/discovery.rs
@@ -1,17 +1,20 @@
 //! Discovery's list and the lines of its watch, as typed values.
 
-use crate::ProtoError;
+mod scan;
+
 use bytes::{Buf, BytesMut};
+use rustc_hash::FxHashSet;
+use scan::{Scan, Scanned};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use winnow::combinator::terminated;
-use winnow::error::{ContextError, ErrMode};
-use winnow::prelude::*;
-use winnow::stream::Partial;
-use winnow::token::take_till;
+use thiserror::Error;
 
-/// The longest line or list: some thousand members.
-pub const MAX_LIST: usize = 1024 * 1024;
+/// Endpoints of the largest fleet: sixteen times the two hundred of a usual one.
+const LARGEST_FLEET: usize = 16 * 200;
+/// A member with the longest names and the deepest indentation; a usual one takes 150 bytes.
+const LARGEST_MEMBER: usize = 1024;
+/// The longest line or list, in bytes: twice what the largest fleet may come to. Bounds the memory that one may take.
+pub const MAX_LIST: usize = 2 * LARGEST_FLEET * LARGEST_MEMBER;
 
 /// The state that discovery gives a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -71,12 +74,37 @@
     Told(List),
 }
 
+/// Why a list, or a line of a watch, cannot be used. What follows it on its connection cannot be trusted.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ListError {
+    /// It is longer than any fleet's.
+    #[error("the list is longer than {MAX_LIST} bytes")]
+    TooLong,
+    /// It is not in the form of JSON.
+    #[error("the list is no JSON: its byte {0} cannot stand there")]
+    Syntax(usize),
+    /// It is JSON, but not in the form of a list; says what is wrong, and in which line and column.
+    #[error("the list is none: {0}")]
+    Form(String),
+    /// A whole list has a member twice.
+    #[error("the list has {0} twice")]
+    Twice(String),
+}
+
 /// Reads one list.
 ///
 /// # Errors
-/// When it is not in the form of a list.
-pub fn list(text: &[u8]) -> Result<List, ProtoError> {
-    serde_json::from_slice(text).map_err(|_| ProtoError::Malformed("list"))
+/// When it is not in the form of a list, with what is wrong and where.
+pub fn list(text: &[u8]) -> Result<List, ListError> {
+    let list: List = serde_json::from_slice(text).map_err(|error| ListError::Form(error.to_string()))?;
+    let mut ids = FxHashSet::default();
+    // Among changes, a member may come again: the last counts.
+    for member in list.members.iter().filter(|_| list.complete) {
+        if !ids.insert(member.id.as_str()) {
+            return Err(ListError::Twice(member.id.clone()));
+        }
+    }
+    Ok(list)
 }
 
 /// What a line of a watch says.
@@ -88,38 +116,45 @@
     Changed(List),
 }
 
-fn whole_line(buffer: &[u8]) -> Option<&[u8]> {
-    let parsed: Result<&[u8], ErrMode<ContextError>> =
-        terminated(take_till(0.., b'\n'), b'\n').parse_next(&mut Partial::new(buffer));
-    parsed.ok()
+/// Reads the lines of a watch. A list that is indented goes on over several lines. Each byte is looked at once as it comes,
+/// in pieces of any size, and once more when its list has come to its end.
+#[derive(Debug, Default)]
+pub struct LineReader {
+    scan: Scan,
+    /// Bytes of the buffer that were looked at.
+    looked_at: usize,
 }
 
-/// Takes the next whole line of a watch off the buffer; `None` while it has not all come. A list that is indented goes on
-/// over several lines.
-///
-/// # Errors
-/// When the line is too long or no list.
-pub fn next_line(buffer: &mut BytesMut) -> Result<Option<Line>, ProtoError> {
-    let Some(text) = whole_line(buffer) else { return awaited(buffer) };
-    let first = text.len();
-    if text.trim_ascii().is_empty() {
-        buffer.advance(first + 1);
-        return Ok(Some(Line::Quiet));
+impl LineReader {
+    /// Takes the next whole line off the buffer, to which more is only added in between; `None` while it has not all come.
+    ///
+    /// # Errors
+    /// When the line is too long or no list.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Line>, ListError> {
+        while let Some(byte) = buffer.get(self.looked_at).copied() {
+            self.looked_at += 1;
+            if self.looked_at > MAX_LIST {
+                return Err(ListError::TooLong);
+            }
+            match self.scan.byte(byte) {
+                Scanned::GoesOn => {}
+                Scanned::Wrong => return Err(ListError::Syntax(self.looked_at - 1)),
+                Scanned::Blank => {
+                    self.take(buffer);
+                    return Ok(Some(Line::Quiet));
+                }
+                Scanned::Object => {
+                    let found = list(&buffer[..self.looked_at]);
+                    self.take(buffer);
+                    return Ok(Some(Line::Changed(found?)));
+                }
+            }
+        }
+        Ok(None)
     }
-    let feeds = buffer.iter().enumerate().skip(first).filter(|(_, byte)| **byte == b'\n').map(|(at, _)| at);
-    // Behind the first, an object can only end where a brace does: the others cost no reading.
-    let mut ends = feeds.filter(|at| *at == first || buffer[..*at].trim_ascii_end().ends_with(b"}"));
-    let found = ends.find_map(|at| match serde_json::from_slice(&buffer[..at]) {
-        Ok(list) => Some(Ok((list, at + 1))),
-        Err(error) if error.is_eof() => None,
-        Err(_) => Some(Err(ProtoError::Malformed("line"))),
-    });
-    let Some(found) = found else { return awaited(buffer) };
-    let (list, used) = found?;
-    buffer.advance(used);
-    Ok(Some(Line::Changed(list)))
-}
 
-fn awaited(buffer: &BytesMut) -> Result<Option<Line>, ProtoError> {
-    if buffer.len() > MAX_LIST { Err(ProtoError::TooLong("line")) } else { Ok(None) }
+    fn take(&mut self, buffer: &mut BytesMut) {
+        buffer.advance(self.looked_at);
+        *self = Self::default();
+    }
 }
--- /dev/null
+++ b/crates/proto/tests/bad_lists.rs
@@ -0,0 +1,77 @@
+//! Lists that cannot be used: each is an error that names what is wrong and where, and takes nothing else with it.
+
+use bytes::BytesMut;
+use proto::discovery::{Line, LineReader, ListError, MAX_LIST, list};
+use std::fmt::Write;
+
+const GOOD: &str =
+    r#"{"revision":7,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:1","phase":"ready"}]}"#;
+
+fn read(text: &str) -> Result<Option<Line>, ListError> {
+    LineReader::default().next(&mut BytesMut::from(format!("{text}\n").as_bytes()))
+}
+
+#[test]
+fn what_is_wrong_with_a_list_is_named_with_its_place() {
+    let spoilt = [
+        ("\"ready\"", "\"asleep\"", "unknown variant `asleep`", "an unknown phase"),
+        (
+            "127.0.0.1:1",
+            "nowhere",
+            "invalid socket address syntax at line 1 column 74",
+            "an address that is none",
+        ),
+        ("\"revision\":7,", "", "missing field `revision`", "no revision"),
+        ("\"id\":\"s-1\",", "", "missing field `id` at line 1", "no id"),
+        ("7", "-7", "invalid value: integer `-7`", "a revision below all"),
+        ("true", "tru", "its byte 28 cannot stand there", "no JSON"),
+        ("true", "tru\n", "its byte 28 cannot stand there", "no JSON, on several lines"),
+        ("]}", "}}", "cannot stand there", "another bracket"),
+        ("}]}", "}]} x", "cannot stand there", "more behind it"),
+        ("{\"rev", "x{\"rev", "its byte 0 cannot stand there", "something ahead of it"),
+    ];
+    for (from, to, says, what) in spoilt {
+        let text = GOOD.replacen(from, to, 1);
+        assert_ne!(text, GOOD, "{what}");
+        let error = read(&text).expect_err(what).to_string();
+        assert!(error.contains(says), "{what}: {error}");
+        assert!(list(text.as_bytes()).is_err(), "{what}, as a whole answer");
+    }
+    assert!(matches!(read(GOOD), Ok(Some(Line::Changed(_)))));
+}
+
+#[test]
+fn a_member_that_comes_twice_spoils_a_whole_list_and_counts_last_among_changes() {
+    let member = |phase: &str| format!(r#"{{"id":"s-1","host_port":"127.0.0.1:1","phase":"{phase}"}}"#);
+    let both = |complete| {
+        let members = [member("ready"), member("draining")].join(",");
+        format!(r#"{{"revision":7,"complete":{complete},"members":[{members}]}}"#)
+    };
+    assert_eq!(read(&both(true)), Err(ListError::Twice("s-1".into())));
+    assert!(matches!(read(&both(false)), Ok(Some(Line::Changed(list))) if list.members.len() == 2));
+}
+
+#[test]
+fn a_line_that_is_cut_short_is_awaited_and_the_next_reader_takes_the_next_good_one() {
+    let mut buffer = BytesMut::from(&GOOD.as_bytes()[..GOOD.len() / 2]);
+    assert_eq!(LineReader::default().next(&mut buffer), Ok(None));
+    assert!(matches!(read(GOOD), Ok(Some(Line::Changed(list))) if list.revision == 7));
+}
+
+#[test]
+fn a_list_of_the_largest_fleet_with_deep_indentation_is_taken_and_one_beyond_the_bound_is_not() {
+    let (mut text, deep) = (String::from("{\"revision\":1,\"complete\":true,\"members\":["), " ".repeat(240));
+    for number in 0..4_800 {
+        let comma = if number == 0 { "" } else { "," };
+        write!(
+            text,
+            "{comma}\n{deep}{{\"id\":\"s-{number}\",\"host_port\":\"127.0.0.1:1\",\"phase\":\"ready\"}}"
+        )
+        .unwrap();
+    }
+    text.push_str("]}");
+    assert!(text.len() > 1_300_000 && text.len() < MAX_LIST, "{}", text.len());
+    assert!(matches!(read(&text), Ok(Some(Line::Changed(list))) if list.members.len() == 4_800));
+    let beyond = text.replacen('[', &format!("[{}", " ".repeat(MAX_LIST)), 1);
+    assert_eq!(LineReader::default().next(&mut BytesMut::from(beyond.as_bytes())), Err(ListError::TooLong));
+}
--- a/crates/proto/tests/parsers.rs
+++ b/crates/proto/tests/parsers.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use proto::discovery::{self, Line};
+use proto::discovery::{Line, LineReader, ListError, MAX_LIST, Phase};
 use proto::http::Whole;
 use proto::resp::{self, Answer};
 use proto::{MAX_VALUE, ProtoError};
@@ -13,9 +13,9 @@
 }
 
 /// Feeds `bytes` in pieces cut at `cuts`, and gathers what the parser finds.
-fn fed<T>(
-    bytes: &[u8], cuts: &[usize], mut next: impl FnMut(&mut BytesMut) -> Result<Option<T>, ProtoError>,
-) -> Result<Vec<T>, ProtoError> {
+fn fed<T, E>(
+    bytes: &[u8], cuts: &[usize], mut next: impl FnMut(&mut BytesMut) -> Result<Option<T>, E>,
+) -> Result<Vec<T>, E> {
     let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
     cuts.extend([0, bytes.len()]);
     cuts.sort_unstable();
@@ -29,6 +29,11 @@
     Ok(found)
 }
 
+fn lines(bytes: &[u8], cuts: &[usize]) -> Result<Vec<Line>, ListError> {
+    let mut reader = LineReader::default();
+    fed(bytes, cuts, |buffer| reader.next(buffer))
+}
+
 fn http(bytes: &[u8], cuts: &[usize]) -> Result<Vec<(u16, Vec<u8>)>, ProtoError> {
     let mut whole = Whole::new(MAX_VALUE);
     fed(bytes, cuts, |buffer| Ok(whole.next(buffer)?.map(|(head, body)| (head.status, body.to_vec()))))
@@ -79,7 +84,7 @@
         bytes.extend_from_slice(b"$3\r\nhit\r\n$-1\r\n-BUSY\r\n");
         // As a connection does: the value is taken off as it comes, then its tail, then the next answer.
         let (mut left, mut behind) = (0, None);
-        let found = fed(&bytes, &cuts, |buffer| {
+        let found: Result<_, ProtoError> = fed(&bytes, &cuts, |buffer| {
             let taken = left.min(buffer.len());
             bytes::Buf::advance(buffer, taken);
             left -= taken;
@@ -139,15 +144,15 @@
             "\n{{\"revision\":{revision},\"complete\":false,\"members\":[{{\"id\":\"s-1\",\
              \"host_port\":\"127.0.0.1:6379\",\"phase\":\"draining\"}}]}}\n"
         );
-        let found = fed(line.as_bytes(), &cuts, discovery::next_line).unwrap();
+        let found = lines(line.as_bytes(), &cuts).unwrap();
         prop_assert_eq!(&found[0], &Line::Quiet);
         let Line::Changed(list) = &found[1] else { panic!("{found:?}") };
-        prop_assert_eq!((list.revision, list.members[0].phase), (revision, discovery::Phase::Draining));
+        prop_assert_eq!((list.revision, list.members[0].phase), (revision, Phase::Draining));
         // Lists may come indented, the first of a watch as well.
         let value: serde_json::Value = serde_json::from_str(&line).unwrap();
         let indented = serde_json::to_string_pretty(&value).unwrap() + "\n\n" + &line;
-        let lines = fed(indented.as_bytes(), &cuts, discovery::next_line).unwrap();
-        prop_assert_eq!(lines, [&found[1], &found[0], &found[0], &found[1]].map(Clone::clone));
+        let found_again = lines(indented.as_bytes(), &cuts).unwrap();
+        prop_assert_eq!(found_again, [&found[1], &found[0], &found[0], &found[1]].map(Clone::clone));
     }
 
     #[test]
@@ -161,7 +166,7 @@
         prop_assert_eq!(fed(&bytes, &cuts, resp::next_command).ok(), fed(&bytes, &[], resp::next_command).ok());
         prop_assert_eq!(fed(&bytes, &cuts, resp::next_answer).ok(), fed(&bytes, &[], resp::next_answer).ok());
         prop_assert_eq!(http(&bytes, &cuts).ok(), http(&bytes, &[]).ok());
-        prop_assert_eq!(fed(&bytes, &cuts, discovery::next_line).ok(), fed(&bytes, &[], discovery::next_line).ok());
+        prop_assert_eq!(lines(&bytes, &cuts).ok(), lines(&bytes, &[]).ok());
     }
 }
 
@@ -186,8 +191,8 @@
     assert!(resp::unfinished(b"*1\r\n$4194305\r\n").is_err());
     assert!(http(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", &[]).is_err());
     assert!(http(&b"HTTP/1.1 100 Continue\r\n\r\n".repeat(9), &[]).is_err(), "interim answers without end");
-    let line = vec![b'x'; discovery::MAX_LIST + 1];
-    assert!(fed(&line, &[], discovery::next_line).is_err(), "a line without end");
+    let line = [&b"{\"a\":\""[..], &vec![b'x'; MAX_LIST]].concat();
+    assert_eq!(lines(&line, &[]), Err(ListError::TooLong), "a line without end");
 }
 
 #[test]
--- a/crates/spindlebeam/tests/large_lists.rs
+++ b/crates/spindlebeam/tests/large_lists.rs
@@ -1,5 +1,6 @@
 //! Lists of as many endpoints as the largest fleets have: what they say of drains is in force within the grace.
 
+use rstest::rstest;
 use serde_json::json;
 use std::time::Duration;
 use testfleet::fleet::Fleet;
@@ -13,9 +14,11 @@
 const REQUESTS: usize = 900;
 
 /// A whole list on the open watch has a quarter of the endpoints drain; nothing new goes there 0.25 s behind its last byte.
-#[test]
-fn a_drain_in_a_list_of_3_200_endpoints_is_in_force_within_the_grace() {
-    let (whole, indented, piece) = (true, true, Some(256));
+#[rstest]
+fn a_drain_in_a_list_of_3_200_endpoints_is_in_force_within_the_grace(
+    #[values(true, false)] whole: bool, #[values(true, false)] indented: bool,
+    #[values(None, Some(256))] piece: Option<usize>,
+) {
     let fleet =
         Fleet::builder(env!("CARGO_BIN_EXE_spindlebeam")).folder(env!("CARGO_TARGET_TMPDIR")).seed(39);
     let fleet = fleet.balancers(1).hosts(HOSTS).ids(IDS);
--- a/crates/upstream/src/group.rs
+++ b/crates/upstream/src/group.rs
@@ -40,6 +40,10 @@
     ServerId(hasher.finish())
 }
 
+/// Changes of one list that are logged one by one; of more, how many there are. A line for each of some thousand would hold
+/// up what the list says.
+const LOGGED_ONE_BY_ONE: usize = 32;
+
 /// The peers listed.
 #[derive(Debug)]
 pub struct UpstreamGroup {
@@ -52,6 +56,20 @@
     names.iter().position(|n| n == name).and_then(|at| T::try_from(at).ok()).unwrap_or(unknown)
 }
 
+fn log_changes(changes: &[(&String, Presence)]) {
+    for (id, presence) in changes.iter().take(LOGGED_ONE_BY_ONE) {
+        log::info!("discovery: {id} is {presence:?}");
+    }
+    if changes.len() > LOGGED_ONE_BY_ONE {
+        let now = |presence| changes.iter().filter(|(_, it)| *it == presence).count();
+        let [ready, draining, gone] = [Presence::Ready, Presence::Draining, Presence::Gone].map(now);
+        log::info!(
+            "discovery: of {} changes, {ready} to Ready, {draining} to Draining, {gone} to Gone",
+            changes.len()
+        );
+    }
+}
+
 impl UpstreamGroup {
     /// An empty group.
     #[must_use]
@@ -65,6 +83,12 @@
         &self.names
     }
 
+    /// How many peers are listed.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.peers.len()
+    }
+
     /// A peer that the list has named.
     #[must_use]
     pub fn peer(&self, id: ServerId) -> Option<&Rc<Peer>> {
@@ -74,7 +98,7 @@
     /// Takes in a list; returns it in the module's form, and the peers to which idle connections are void.
     pub fn apply(&mut self, list: &List, cached: bool) -> (ListKind, Vec<ServerEntry>, Vec<ServerId>) {
         let entries: Vec<_> = list.members.iter().map(|m| self.entry(m)).collect();
-        let mut stale = Vec::new();
+        let (mut stale, mut changes) = (Vec::new(), Vec::new());
         if list.complete {
             let named: FxHashSet<_> = entries.iter().map(|e| e.id).collect();
             self.peers.retain(|id, peer| {
@@ -91,14 +115,14 @@
             if entry.presence == Presence::Gone {
                 // Guards memory on days on which new peers take the place of old ones all the time.
                 if let Some(peer) = self.peers.remove(&entry.id) {
-                    log::info!("discovery: {} is Gone", member.id);
+                    changes.push((&member.id, entry.presence));
                     peer.presence.set(Presence::Gone); // tries that are dialling still look at it
                     stale.push(entry.id);
                 }
                 continue;
             }
             if known.is_none_or(|peer| peer.presence.get() != entry.presence) {
-                log::info!("discovery: {} is {:?}", member.id, entry.presence);
+                changes.push((&member.id, entry.presence));
             }
             if let Some(peer) = known {
                 peer.presence.set(entry.presence);
@@ -122,6 +146,7 @@
                 old.presence.set(Presence::Gone); // what it was: its address or its process has changed
             }
         }
+        log_changes(&changes);
         let kind = match (cached, list.complete) {
             (true, _) => ListKind::Cached,
             (_, true) => ListKind::Full,
