Refuse, in place of resetting, what clients without a slot wrote as the process ends

At fault: Front::accept took 20 ms for what the system had accepted, waiting for a slot, and then let the listener go, which resets the rest. Change: connections are told to close before that; then all that the system has accepted is taken until nothing more comes for 20 ms (or the end for all answers); for whom there is no slot, eight at a time, what they have written is refused (-BUSY) and the connection closed in order.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -3,8 +3,8 @@
 mod closing;
 mod commands;
 
-use crate::Front;
 use crate::shutdown::{Activity, Schedule, Stage};
+use crate::{Front, Room};
 use admission::{ConnectionId, Patience};
 use bytes::{BufMut, BytesMut};
 use closing::{ClientEvent, Close, client_left, read_or_watch, write};
@@ -76,6 +76,8 @@
     input_age: Duration,
     /// How long the thread had been held up as the connection was accepted.
     age_at_accept: Duration,
+    /// Whether it has a connection slot: all that comes on one without is refused.
+    slot: Room,
     /// Bytes still to come of a large value for which there was no room: read and thrown away.
     skip: usize,
     close_signal: Rc<Notify>,
@@ -114,6 +116,7 @@
     /// A connection that was just accepted.
     pub(crate) fn new(
         front: Rc<Front>, stream: TcpStream, id: ConnectionId, close_signal: Rc<Notify>, patience: Patience,
+        room: Room,
     ) -> Self {
         let age_at_accept = front.handle.heartbeat.overdue(Instant::now());
         Self {
@@ -130,6 +133,7 @@
             room: None,
             input_age: Duration::ZERO,
             age_at_accept,
+            slot: room,
             skip: 0,
             close_signal,
             slot_state: SlotState::Awaits,
@@ -242,7 +246,11 @@
     fn schedule(&self) -> Schedule {
         let has_asked = self.slot_state != SlotState::Awaits;
         let activity = Activity { opened: self.opened, has_asked, answered_at: self.answered_at };
-        self.front.shutdown.get().schedule(&activity)
+        let schedule = self.front.shutdown.get().schedule(&activity);
+        match self.slot {
+            Room::Slot => schedule,
+            Room::None => schedule.without_slot(self.opened),
+        }
     }
 
     /// Moves the answers that are due to `out`, and reads on where that has made room.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,7 +13,7 @@
 mod request;
 pub mod shutdown;
 
-use admission::{ConnectionId, Micros, Places};
+use admission::{ConnectionId, Micros, Patience, Places};
 use gateway::engine::Handle;
 use gateway::setup::Names;
 use rustc_hash::FxHashMap;
@@ -21,6 +21,7 @@
 use shutdown::Shutdown;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
+use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::task::Poll;
@@ -31,8 +32,10 @@
 
 /// The wait after a failed accept, when descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long, at the end, those that have been dialled already are still accepted.
+/// How long, at the end, nothing may have been dialled before no more is accepted.
 const LAST_ACCEPTS: Duration = Duration::from_millis(20);
+/// Connections without a slot that are open at a time, to be refused: of the descriptors that are kept back from clients.
+const MOST_SLOTLESS: usize = 8;
 /// How often what has become of client connections is logged.
 const REPORT: Duration = Duration::from_secs(10);
 
@@ -51,6 +54,8 @@
     full: Seldom,
     failed: Seldom,
     freed: Notify,
+    /// Connections without a slot.
+    slotless: Cell<usize>,
     /// Whether and when connections are to close.
     shutdown: Cell<Shutdown>,
     /// Wakes those who wait for that to change.
@@ -58,6 +63,7 @@
 }
 
 /// Whether there is a connection slot for a newcomer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Room {
     Slot,
     /// None, and it is not waited for.
@@ -80,6 +86,7 @@
             full: Seldom::default(),
             failed: Seldom::default(),
             freed: Notify::new(),
+            slotless: Cell::default(),
             shutdown: Cell::default(),
             shutdown_changed: Notify::new(),
         })
@@ -111,34 +118,50 @@
             };
             match accepted {
                 (Room::None, Ok((stream, address))) if self.turns_away() => {
-                    log::debug!("{address}: turned away, all connections are busy while draining");
-                    drop(stream); // unread, so that its client asks elsewhere
-                }
-                (_, Ok((stream, address))) => self.clone().serve(stream, address.ip()),
-                (_, Err(error)) => {
-                    // Guards against a spin on EMFILE: the client stays in the backlog meanwhile.
-                    if let Some(more) = self.failed.line() {
-                        log::warn!("accepting: {error}{more}");
-                    }
-                    self.decide(|places, now| places.evict(now));
-                    sleep(ACCEPT_PAUSE).await;
+                    self.clone().refuse(stream, address.ip()).await;
                 }
+                (_, Ok((stream, address))) => self.clone().serve(stream, address.ip(), Room::Slot),
+                (_, Err(error)) => self.failed_to_accept(&error).await,
             }
         }
         if shared {
             return; // who waits in its queue is served by the others
         }
-        // Guards the wind-down against clients that dial anew as soon as they are turned away.
-        let _ = timeout(LAST_ACCEPTS, async {
-            loop {
-                let room = self.room().await;
-                let Ok((stream, address)) = listener.accept().await else { return };
-                if let Room::Slot = room {
-                    self.clone().serve(stream, address.ip());
+        self.accept_rest(&listener).await;
+    }
+
+    /// Takes what the system has accepted for us: with the listener it would be reset, and the requests written on it lost.
+    /// Those for whom there is no slot are refused. Over when nothing more comes, or all else is to be answered.
+    async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
+        let ends = self.shutdown.get().ends().unwrap_or_else(Instant::now);
+        while Instant::now() < ends {
+            match timeout(LAST_ACCEPTS, listener.accept()).await {
+                Err(_) => return,
+                Ok(Err(error)) => self.failed_to_accept(&error).await,
+                Ok(Ok((stream, address))) if self.decide(Places::has_room) => {
+                    self.clone().serve(stream, address.ip(), Room::Slot);
                 }
+                Ok(Ok((stream, address))) => self.clone().refuse(stream, address.ip()).await,
             }
-        })
-        .await;
+        }
+    }
+
+    /// Refuses what a newcomer has written for whom there is no slot, and closes its connection.
+    async fn refuse(self: Rc<Self>, stream: TcpStream, address: IpAddr) {
+        log::debug!("{address}: turned away, all connections are busy");
+        while self.slotless.get() >= MOST_SLOTLESS {
+            let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
+        }
+        self.serve(stream, address, Room::None);
+    }
+
+    /// Guards against a spin on EMFILE: the client stays in the backlog meanwhile.
+    async fn failed_to_accept(&self, error: &io::Error) {
+        if let Some(more) = self.failed.line() {
+            log::warn!("accepting: {error}{more}");
+        }
+        self.decide(|places, now| places.evict(now));
+        sleep(ACCEPT_PAUSE).await;
     }
 
     /// Whether a newcomer is turned away: a slot may have fallen free, or the drain have ended, since it was waited for.
@@ -181,19 +204,28 @@
         log::info!("{held} client connections of {}; reuse {reuse:.2}; so far {counts:?}", self.most);
     }
 
-    fn serve(self: Rc<Self>, stream: TcpStream, address: IpAddr) {
+    fn serve(self: Rc<Self>, stream: TcpStream, address: IpAddr, room: Room) {
         *self.next.borrow_mut() += 1;
         let id = ConnectionId(*self.next.borrow());
         let close_signal = Rc::new(Notify::new());
         self.close_signals.borrow_mut().insert(id, close_signal.clone());
-        let patience = self.decide(|places, now| places.enter(now, id, address));
-        let client = client::Client::new(self.clone(), stream, id, close_signal, patience);
+        let patience = match room {
+            Room::Slot => self.decide(|places, now| places.enter(now, id, address)),
+            Room::None => {
+                self.slotless.set(self.slotless.get() + 1);
+                Patience(shutdown::SLOTLESS.as_micros() as Micros)
+            }
+        };
+        let client = client::Client::new(self.clone(), stream, id, close_signal, patience, room);
         tokio::task::spawn_local(async move {
             if let Err(error) = client.run().await {
                 log::debug!("client {}: {error}", id.0);
             }
             self.close_signals.borrow_mut().remove(&id);
             self.decide(|places, now| places.left(now, id));
+            if room == Room::None {
+                self.slotless.set(self.slotless.get() - 1);
+            }
             self.freed.notify_one();
         });
     }
@@ -231,7 +263,7 @@
 
     /// Waits until no client connection is open.
     pub async fn emptied(&self) {
-        while self.places.borrow().held() > 0 {
+        while self.places.borrow().held() + self.slotless.get() > 0 {
             self.freed.notified().await;
         }
     }
--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -22,6 +22,8 @@
 const FIRST_COMMAND: Duration = Duration::from_millis(300);
 /// How long the lingering close of a connection that was accepted late may last.
 const LATE_CLOSE: Duration = Duration::from_millis(500);
+/// How long a newcomer without a slot may take to its first command: what it has written by now is read, and refused.
+pub(crate) const SLOTLESS: Duration = Duration::from_millis(20);
 /// How long the process lives on behind the last answers, for their writes.
 pub const LAST_WRITES: Duration = Duration::from_millis(100);
 
@@ -117,6 +119,11 @@
         }
     }
 
+    /// When all that is owed fails, where the process is to end.
+    pub fn ends(&self) -> Option<Instant> {
+        self.termination.map(|termination| termination.ends)
+    }
+
     /// Whether newcomers for whom there is no connection slot are closed unread: none of those who hold one leaves in time.
     pub fn turns_away(&self, now: Instant) -> bool {
         self.draining_since.is_some_and(|since| now >= since + DRAIN_READS)
@@ -181,6 +188,14 @@
         }
     }
 
+    /// The schedule of a connection that has no slot: all that comes on it is shed, and it is closed soon.
+    pub(crate) fn without_slot(self, opened: Instant) -> Self {
+        let until = Some(opened + SLOTLESS);
+        let shed =
+            Self { idle: until, shed: Some(opened), read: until, closed: Some(opened + LATE_CLOSE), ..self };
+        self.and(shed)
+    }
+
     /// How far a connection has come by this time.
     pub fn stage(&self, now: Instant) -> Stage {
         let over = |time: Option<Instant>| time.is_some_and(|time| now >= time);
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -181,9 +181,9 @@
         front.terminate(IDLE_AT_REPLACEMENT, ends);
     } else {
         sleep(STILL_ACCEPTING).await;
+        front.terminate(Duration::ZERO, ends);
         let _ = stop.send(());
         let _ = accepting.await;
-        front.terminate(Duration::ZERO, ends);
     }
     if timeout_at(ends + LAST_WRITES, front.emptied()).await.is_err() {
         log::warn!("some client connections were still busy at the end");
