Bound the wait for a connection slot by the shortest time of a request, and add a soak of real processes

At fault: Front::accept waited for a slot without a bound, newcomers behind one another. Change: a newcomer waits for a quarter of the shortest deadline (0.5 s at most), those ahead of it in the queue included; then what it has written is refused. What it has waited counts for its first request.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -74,7 +74,7 @@
     room: Option<Held>,
     /// How long before it was read the latest input may have come.
     input_age: Duration,
-    /// How long the thread had been held up as the connection was accepted.
+    /// How long the thread had been held up as the connection was accepted, and that had waited for its slot.
     age_at_accept: Duration,
     /// Whether it has a connection slot: all that comes on one without is refused.
     slot: Room,
@@ -116,9 +116,9 @@
     /// A connection that was just accepted.
     pub(crate) fn new(
         front: Rc<Front>, stream: TcpStream, id: ConnectionId, close_signal: Rc<Notify>, patience: Patience,
-        room: Room,
+        room: Room, waited: Duration,
     ) -> Self {
-        let age_at_accept = front.handle.heartbeat.overdue(Instant::now());
+        let age_at_accept = waited + front.handle.heartbeat.overdue(Instant::now());
         Self {
             front,
             stream,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![warn(unreachable_pub)]
 
+pub mod accept;
 mod client;
 pub mod operator;
 mod request;
@@ -21,23 +22,13 @@
 use shutdown::Shutdown;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
-use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, interval, sleep, timeout};
-
-/// The wait after a failed accept, when descriptors may have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long, at the end, nothing may have been dialled before no more is accepted.
-const LAST_ACCEPTS: Duration = Duration::from_millis(20);
-/// Connections without a slot that are open at a time, to be refused: of the descriptors that are kept back from clients.
-const MOST_SLOTLESS: usize = 16;
-/// How often what has become of client connections is logged.
-const REPORT: Duration = Duration::from_secs(10);
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// What all client connections share.
 pub struct Front {
@@ -45,6 +36,8 @@
     pub handle: Handle,
     names: Names,
     most: usize,
+    /// How long a newcomer may wait for a connection slot.
+    slot_wait: Duration,
     started: Instant,
     next: RefCell<u64>,
     places: RefCell<Places>,
@@ -71,13 +64,14 @@
 }
 
 impl Front {
-    /// A front of at most `most` client connections.
+    /// A front of at most `most` client connections, for one of which a newcomer waits for `slot_wait` at most.
     #[must_use]
-    pub fn new(handle: Handle, names: Names, most: usize) -> Rc<Self> {
+    pub fn new(handle: Handle, names: Names, most: usize, slot_wait: Duration) -> Rc<Self> {
         Rc::new(Self {
             handle,
             names,
             most,
+            slot_wait,
             started: Instant::now(),
             next: RefCell::default(),
             places: RefCell::new(Places::new(most)),
@@ -92,100 +86,6 @@
         })
     }
 
-    /// Accepts until `stop` fires, then takes what has been dialled already, and lets the listener go. A `shared` one is
-    /// held by others too, who serve meanwhile: nothing is taken from it before it can be served as well.
-    pub async fn accept(
-        self: Rc<Self>, listener: TcpListener, shared: bool, mut stop: oneshot::Receiver<()>,
-    ) {
-        if shared {
-            tokio::select! {
-                _ = &mut stop => return,
-                () = self.handle.until_ready() => log::info!("accepting from the inherited socket"),
-            }
-        }
-        let mut report = interval(REPORT);
-        report.reset(); // nothing to tell yet
-        loop {
-            // Guards the signal to stop against a wait for a place that never comes.
-            let accepted = tokio::select! {
-                biased;
-                _ = &mut stop => break,
-                accepted = async { (self.room().await, listener.accept().await) } => accepted,
-                _ = report.tick() => {
-                    self.report();
-                    continue;
-                }
-            };
-            match accepted {
-                (Room::None, Ok((stream, address))) if self.turns_away() => {
-                    self.clone().refuse(stream, address.ip()).await;
-                }
-                (_, Ok((stream, address))) => self.clone().serve(stream, address.ip(), Room::Slot),
-                (_, Err(error)) => self.failed_to_accept(&error).await,
-            }
-        }
-        if shared {
-            return; // who waits in its queue is served by the others
-        }
-        self.accept_rest(&listener).await;
-    }
-
-    /// Takes what the system has accepted for us: with the listener it would be reset, and the requests written on it lost.
-    /// Those for whom there is no slot are refused. Over when nothing more comes, or all else is to be answered.
-    async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
-        let ends = self.shutdown.get().ends().unwrap_or_else(Instant::now);
-        while Instant::now() < ends {
-            match timeout(LAST_ACCEPTS, listener.accept()).await {
-                Err(_) => return,
-                Ok(Err(error)) => self.failed_to_accept(&error).await,
-                Ok(Ok((stream, address))) if self.decide(Places::has_room) => {
-                    self.clone().serve(stream, address.ip(), Room::Slot);
-                }
-                Ok(Ok((stream, address))) => self.clone().refuse(stream, address.ip()).await,
-            }
-        }
-    }
-
-    /// Refuses what a newcomer has written for whom there is no slot, and closes its connection.
-    async fn refuse(self: Rc<Self>, stream: TcpStream, address: IpAddr) {
-        log::debug!("{address}: turned away, all connections are busy");
-        while self.slotless.get() >= MOST_SLOTLESS {
-            let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
-        }
-        self.serve(stream, address, Room::None);
-    }
-
-    /// Guards against a spin on EMFILE: the client stays in the backlog meanwhile.
-    async fn failed_to_accept(&self, error: &io::Error) {
-        if let Some(more) = self.failed.line() {
-            log::warn!("accepting: {error}{more}");
-        }
-        self.decide(|places, now| places.evict(now));
-        sleep(ACCEPT_PAUSE).await;
-    }
-
-    /// Whether a newcomer is turned away: a slot may have fallen free, or the drain have ended, since it was waited for.
-    fn turns_away(&self) -> bool {
-        !self.decide(Places::has_room) && self.shutdown.get().turns_away(Instant::now())
-    }
-
-    /// Waits for a place for one more client, at the cost of one that [`Places`] picks.
-    async fn room(&self) -> Room {
-        while !self.decide(Places::has_room) {
-            if self.shutdown.get().turns_away(Instant::now()) {
-                return Room::None;
-            }
-            if self.places.borrow().all_busy()
-                && let Some(more) = self.full.line()
-            {
-                log::warn!("all {} client connections are busy{more}", self.most);
-            }
-            // Guards against waiting for one that was asked to close just as its next request came.
-            let _ = timeout(ACCEPT_PAUSE, self.freed.notified()).await;
-        }
-        Room::Slot
-    }
-
     /// Notifies the places of something, and passes on whom they ask to close for it.
     fn decide<T>(&self, notify: impl FnOnce(&mut Places, Micros) -> T) -> T {
         let mut places = self.places.borrow_mut();
@@ -204,7 +104,8 @@
         log::info!("{held} client connections of {}; reuse {reuse:.2}; so far {counts:?}", self.most);
     }
 
-    fn serve(self: Rc<Self>, stream: TcpStream, address: IpAddr, room: Room) {
+    /// Serves a connection that may have waited so long for its slot, or refuses what comes on one that has none.
+    fn serve(self: Rc<Self>, stream: TcpStream, address: IpAddr, room: Room, waited: Duration) {
         *self.next.borrow_mut() += 1;
         let id = ConnectionId(*self.next.borrow());
         let close_signal = Rc::new(Notify::new());
@@ -216,7 +117,7 @@
                 Patience(shutdown::SLOTLESS.as_micros() as Micros)
             }
         };
-        let client = client::Client::new(self.clone(), stream, id, close_signal, patience, room);
+        let client = client::Client::new(self.clone(), stream, id, close_signal, patience, room, waited);
         tokio::task::spawn_local(async move {
             if let Err(error) = client.run().await {
                 log::debug!("client {}: {error}", id.0);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -352,6 +352,7 @@
             dial: minute,
             idle: minute,
             longest: minute,
+            shortest: minute,
         };
         let nowhere = ([127, 0, 0, 1], 1).into();
         Config {
--- a/crates/gateway/tests/left.rs
+++ b/crates/gateway/tests/left.rs
@@ -41,6 +41,7 @@
             dial: MINUTE,
             idle: MINUTE,
             longest: MINUTE,
+            shortest: MINUTE,
         },
         siblings: None,
     }
--- a/crates/spindlebeam/src/config.rs
+++ b/crates/spindlebeam/src/config.rs
@@ -178,6 +178,7 @@
     let micros = |name: &str, default: u64| Duration::from_micros(permitted(name, default));
     let siblings = if settings.peers { siblings(&file, settings.me as usize)? } else { None };
     let longest = settings.classes.iter().map(|c| c.deadline_us).max().unwrap_or_default();
+    let shortest = settings.classes.iter().map(|c| c.deadline_us).min().unwrap_or_default();
     let memory = memory_mb.saturating_mul(1 << 20);
     Ok(Config {
         name: file.required("name")?,
@@ -205,6 +206,7 @@
             // A margin below the peers' own limit: a request written after it ends as a reset.
             idle: micros("connIdleUs", 10_000_000).mul_f64(0.85),
             longest: Duration::from_micros(longest),
+            shortest: Duration::from_micros(shortest),
         },
         siblings,
         settings,
--- a/crates/spindlebeam/src/serve.rs
+++ b/crates/spindlebeam/src/serve.rs
@@ -6,6 +6,7 @@
 use anyhow::{Context, Result, bail};
 use decide::api::Discovery;
 use discovery::Way;
+use front::accept::slot_wait;
 use front::shutdown::LAST_WRITES;
 use front::{Front, operator};
 use futures_util::FutureExt;
@@ -129,7 +130,8 @@
             Err(error) => return Err(error),
         }
     }
-    let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients);
+    let slot_wait = slot_wait(config.bounds.shortest);
+    let front = Front::new(handle.clone(), config.names.clone(), config.bounds.clients, slot_wait);
     let core = tokio::task::spawn_local(engine.run());
     let known = config.known.clone();
     let balancers = config.settings.siblings;
--- /dev/null
+++ b/crates/testfleet/examples/soak.rs
@@ -0,0 +1,32 @@
+//! Plays soak runs one after the other: `soak PROGRAM FIRST_SEED RUNS`. Prints a line a seed; ends with 1 where a rule was broken.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use testfleet::soak::{Plan, run};
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let [program, first, runs] = &words[..] else {
+        eprintln!("usage: soak PROGRAM FIRST_SEED RUNS");
+        return ExitCode::FAILURE;
+    };
+    let (Ok(first), Ok(runs)) = (first.parse::<u64>(), runs.parse::<u64>()) else {
+        eprintln!("FIRST_SEED and RUNS are whole numbers");
+        return ExitCode::FAILURE;
+    };
+    let mut broken = 0;
+    for seed in first..first + runs {
+        match run(&PathBuf::from(program), &std::env::temp_dir(), Plan::draw(seed)) {
+            Ok(report) => {
+                broken += u64::from(!report.verdict.violations.is_empty());
+                println!("{report}");
+            }
+            Err(error) => {
+                broken += 1;
+                println!("seed {seed}: {error}");
+            }
+        }
+    }
+    println!("{} of {runs} runs kept all rules", runs - broken);
+    ExitCode::from(u8::from(broken > 0))
+}
--- a/crates/testfleet/src/archive.rs
+++ b/crates/testfleet/src/archive.rs
@@ -1,7 +1,7 @@
 //! The archive: an origin that speaks HTTP/1.1 and books each run of each id.
 
 use crate::ground::{any_port, listen};
-use crate::hosts::{Ending, Try, class_of};
+use crate::hosts::{Ending, Try, class_of, time_of};
 use crate::journal::Journal;
 use crate::relay::{Caller, Callers};
 use bytes::Bytes;
@@ -122,7 +122,8 @@
         let header = |name: &str| {
             request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
         };
-        let (id, class) = (header("Req-Id"), class_of(&header("Req-Extra")));
+        let (id, extra) = (header("Req-Id"), header("Req-Extra"));
+        let (class, time) = (class_of(&extra), time_of(&extra));
         let key = request.uri().path().trim_start_matches('/').to_owned();
         let temper = *self.temper.borrow();
         let mut answer = Response::new(Full::new(Bytes::from(format!("value of {key}"))));
@@ -137,7 +138,8 @@
         let at = Instant::now();
         let (sent, balancer) = (caller.as_ref().map_or(at, Caller::wrote), caller.map(|it| it.balancer));
         let host = NAME.to_owned();
-        let place = self.runs.push(Try { host, id, key, class, balancer, connection, sent, at, ended: None });
+        let place =
+            self.runs.push(Try { host, id, key, class, time, balancer, connection, sent, at, ended: None });
         let mut run = Run { shared: self, place, ending: Ending::Closed };
         let takes = *self.takes.borrow();
         if !takes.is_zero() {
--- a/crates/testfleet/src/clients.rs
+++ b/crates/testfleet/src/clients.rs
@@ -57,6 +57,12 @@
     Served,
     /// To come again later.
     Refused,
+    /// Its connection closed as it was written: to be asked again.
+    Crossed,
+    /// It was never written whole.
+    NotTaken,
+    /// Its client left.
+    Left,
     /// The balancer has no list yet.
     NotReady,
     /// Failed, in these words.
@@ -82,6 +88,8 @@
     pub deadline: Duration,
     /// Final answers: one, unless something is wrong.
     pub answers: Vec<(Instant, Final)>,
+    /// When its client left, if it did before an answer.
+    pub left: Option<Instant>,
 }
 
 /// A connection on which the answer to all that was asked has come, and the place of the last call.
@@ -100,13 +108,14 @@
 #[derive(Debug, Clone)]
 pub struct Clients(Arc<Shared>, Handle);
 
-struct Question {
-    balancer: usize,
-    class: String,
-    write: bool,
-    tenant: String,
-    key: String,
-    deadline: Duration,
+/// A request before it has an id.
+pub(crate) struct Question {
+    pub(crate) balancer: usize,
+    pub(crate) class: String,
+    pub(crate) write: bool,
+    pub(crate) tenant: String,
+    pub(crate) key: String,
+    pub(crate) deadline: Duration,
 }
 
 impl Clients {
@@ -204,7 +213,7 @@
         let (id, balancer, class) = (format!("{number:016x}"), question.balancer, question.class.clone());
         let idle = self.connection(balancer);
         let (at, asked, deadline, answers) = (Instant::now(), None, question.deadline, Vec::new());
-        let call = Call { id: id.clone(), class, balancer, at, asked, deadline, answers };
+        let call = Call { id: id.clone(), class, balancer, at, asked, deadline, answers, left: None };
         let place = self.calls.push(call);
         let asked = async {
             let mut reader = match idle {
@@ -233,7 +242,7 @@
     }
 }
 
-fn command(question: &Question, id: &str) -> BytesMut {
+pub(crate) fn command(question: &Question, id: &str) -> BytesMut {
     let ms = question.deadline.as_millis();
     let mut options = format!("c={},t={},d={ms}", question.class, question.tenant);
     let mut out = BytesMut::new();
@@ -247,7 +256,7 @@
     out
 }
 
-async fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Final> {
+pub(crate) async fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Final> {
     let mut line = String::new();
     reader.read_line(&mut line).await?;
     let line = line.trim_end();
--- a/crates/testfleet/src/fleet.rs
+++ b/crates/testfleet/src/fleet.rs
@@ -30,6 +30,8 @@
     pub to_hosts: Vec<TcpLink>,
     /// To the archive.
     pub to_archive: TcpLink,
+    /// Where it takes clients, past the relay.
+    pub front: SocketAddr,
     /// Where operators call.
     pub operators: SocketAddr,
     /// Its configuration.
@@ -235,6 +237,7 @@
         let it = &mut self.balancers[number];
         let address = it.process.said_address(&format!("n{number}: listening on "));
         it.operators = it.process.said_address("operators call at ");
+        it.front = address;
         it.from_clients.aim(address);
         if self.in_fleet {
             // Before anybody is waited for: nobody is ready without a lease, nor has one without the others.
--- a/crates/testfleet/src/hosts.rs
+++ b/crates/testfleet/src/hosts.rs
@@ -57,6 +57,8 @@
     pub key: String,
     /// Its class.
     pub class: String,
+    /// The time that it tells.
+    pub time: Option<Duration>,
     /// The balancer that sent it; none where it came past the relays.
     pub balancer: Option<usize>,
     /// Number of the connection at this host.
@@ -69,6 +71,12 @@
     pub ended: Option<(Instant, Ending)>,
 }
 
+/// The time that a request's options tell.
+pub(crate) fn time_of(options: &str) -> Option<Duration> {
+    let ms = options.split(',').find_map(|option| option.strip_prefix("d="))?;
+    ms.parse().ok().map(Duration::from_millis)
+}
+
 /// The class that a request's options name.
 pub(crate) fn class_of(options: &str) -> String {
     options.split(',').find_map(|option| option.strip_prefix("c=")).unwrap_or_default().to_owned()
@@ -180,11 +188,12 @@
 
     fn entry(&self, command: &Command, connection: u64, caller: Option<&Caller>) -> Option<Try> {
         let word = |at: usize| command.0.get(at).map(|word| String::from_utf8_lossy(word).into_owned());
-        let (key, id, class) = (word(1)?, word(2)?, class_of(&word(3)?));
+        let (key, id, options) = (word(1)?, word(2)?, word(3)?);
+        let (class, time) = (class_of(&options), time_of(&options));
         let at = Instant::now();
         let sent = caller.map_or(at, Caller::wrote);
         let (host, balancer) = (self.name.clone(), caller.map(|it| it.balancer));
-        Some(Try { host, id, key, class, balancer, connection, sent, at, ended: None })
+        Some(Try { host, id, key, class, time, balancer, connection, sent, at, ended: None })
     }
 
     /// No when the connection ended before the answer.
--- a/crates/testfleet/src/lib.rs
+++ b/crates/testfleet/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod process;
 pub mod referee;
 pub mod relay;
+pub mod soak;
 mod start;
 
 /// The longest that anything is waited for: it only ends a test that would wait for ever.
--- a/crates/testfleet/src/process.rs
+++ b/crates/testfleet/src/process.rs
@@ -169,6 +169,11 @@
         }
         Ok(())
     }
+    /// Whether it has ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.reaped.is_some() || self.ended.count() > 0
+    }
     /// Waits for its end.
     ///
     /// # Errors
@@ -248,6 +253,12 @@
     table.lines().filter_map(ours).collect()
 }
 
+/// Descriptors that a process has open.
+#[must_use]
+pub fn descriptors(process: u32) -> usize {
+    fs::read_dir(format!("/proc/{process}/fd")).map_or(0, Iterator::count)
+}
+
 /// Memory that a process has now, in KB, and processor time that it has had, in microseconds.
 #[must_use]
 pub fn uses(process: u32) -> Option<(u64, u64)> {
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -59,6 +59,18 @@
     AnsweredTwice(String),
     /// A request had its answer so long after its time.
     AnsweredLate(String, Duration),
+    /// An attempt for a request began so long after its client had left.
+    SentForLeft(String, Duration),
+    /// An attempt told its host so much more time than was left.
+    ToldTooMuchTime(String, Duration),
+    /// A request that its connection's close had crossed was sent on all the same.
+    CrossedAndSent(String),
+    /// A client that had stopped half way was kept waiting for so long.
+    KeptWaiting(usize, Duration),
+    /// A balancer that was told to end ran on until SIGKILL.
+    StillRunning(usize),
+    /// A balancer had more memory (KB) or descriptors than it may.
+    OverLimit(usize, u64, usize),
     /// A request was lost at a balancer that nobody had killed, and how.
     Lost(String, String),
     /// A fragile request ran more than once: so often.
@@ -95,6 +107,8 @@
     pub failed: usize,
     /// Lost with a balancer that was killed.
     pub lost_with_a_killed: usize,
+    /// Not taken, or left by their clients.
+    pub not_taken: usize,
     /// Tries at cache hosts.
     pub tries: usize,
     /// Runs at the archive.
@@ -105,9 +119,12 @@
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, calls, served, refused, failed, lost_with_a_killed: lost, tries, runs, violations } =
-            self;
+        let Self { seed, calls, served, refused, failed, .. } = self;
+        let Self { not_taken, lost_with_a_killed: lost, tries, runs, violations, .. } = self;
         write!(f, "seed {seed:#x}: {calls} calls, {served} served, {refused} refused, {failed} failed, ")?;
+        if *not_taken > 0 {
+            write!(f, "{not_taken} not taken or left, ")?;
+        }
         write!(f, "{lost} lost with a killed balancer; {tries} tries, {runs} runs; ")?;
         write!(f, "{} violations{}", violations.len(), if violations.is_empty() { "" } else { ":" })?;
         violations.iter().take(20).try_for_each(|violation| write!(f, "\n  {violation:?}"))
@@ -138,6 +155,8 @@
         verdict.violations.push(Violation::RecordsLeftOut(evidence.left_out));
     }
     answers(evidence, &mut verdict);
+    left_and_crossed(evidence, &mut verdict);
+    told_time(evidence, &mut verdict);
     fragile(evidence, &mut verdict);
     one_at_once(evidence, &mut verdict);
     leaving(evidence, &mut verdict);
@@ -152,6 +171,7 @@
                 Final::Served => verdict.served += 1,
                 Final::Refused | Final::NotReady => verdict.refused += 1,
                 Final::Failed(_) => verdict.failed += 1,
+                Final::NotTaken | Final::Crossed | Final::Left => verdict.not_taken += 1,
                 Final::Lost(_) if was_killed(evidence, call.balancer, call.at, *at) => {
                     verdict.lost_with_a_killed += 1;
                 }
@@ -163,6 +183,51 @@
     }
 }
 
+/// An attempt may begin so long after its client has left.
+pub const LEFT_SLACK: Duration = Duration::from_millis(100);
+/// An attempt may tell so much more time than is left.
+pub const TOLD_SLACK: Duration = Duration::from_millis(150);
+
+/// Attempts for clients that had left, and for requests that were not to be taken.
+fn left_and_crossed(evidence: &Evidence, verdict: &mut Verdict) {
+    let calls: FxHashMap<&str, &Call> = evidence.calls.iter().map(|it| (it.id.as_str(), it)).collect();
+    for it in evidence.tries.iter().chain(&evidence.runs) {
+        let Some(call) = calls.get(it.id.as_str()) else { continue };
+        if matches!(call.answers.first(), Some((_, Final::Crossed))) {
+            verdict.violations.push(Violation::CrossedAndSent(it.id.clone()));
+        }
+        let Some(left) = call.left else { continue };
+        let after =
+            it.sent.saturating_duration_since(after_stops(evidence, call.balancer, left + LEFT_SLACK));
+        if after > MARGIN {
+            verdict.violations.push(Violation::SentForLeft(it.id.clone(), after));
+        }
+    }
+}
+
+/// What attempts say that their balancer waits.
+fn told_time(evidence: &Evidence, verdict: &mut Verdict) {
+    let calls: FxHashMap<&str, &Call> = evidence.calls.iter().map(|it| (it.id.as_str(), it)).collect();
+    for it in evidence.tries.iter().chain(&evidence.runs) {
+        let call = calls.get(it.id.as_str());
+        let Some((call, (asked, time))) = call.and_then(|call| Some((call, call.asked.zip(it.time)?))) else {
+            continue;
+        };
+        let left = (asked + call.deadline).saturating_duration_since(it.sent);
+        let more = time.saturating_sub(left);
+        // What it wrote before it was stopped is relayed as it was.
+        if more > TOLD_SLACK + MARGIN {
+            verdict.violations.push(Violation::ToldTooMuchTime(it.id.clone(), more));
+        }
+    }
+}
+
+/// This time, or the end of a stop of the balancer in which it falls.
+fn after_stops(evidence: &Evidence, balancer: usize, time: Instant) -> Instant {
+    let stops = evidence.interruptions.iter().filter(|it| it.balancer == balancer && it.from <= time);
+    stops.filter_map(|it| it.until).fold(time, Instant::max)
+}
+
 /// Whether its answer came too late. Time in which the balancer was stopped as its time ran out does not count.
 fn late(evidence: &Evidence, call: &Call) -> Option<Violation> {
     let (answered, _) = call.answers.first()?;
--- a/crates/testfleet/src/start.rs
+++ b/crates/testfleet/src/start.rs
@@ -226,8 +226,8 @@
         // Aimed once the balancer has told where it listens.
         let from_clients = TcpLink::start(handle, any_port(), None, seed)?;
         let process = Process::start(handle, launch, &home, &config)?;
-        let operators = any_port();
-        Ok(Balancer { process, agent, from_clients, to_hosts, to_archive, operators, config })
+        let (front, operators) = (any_port(), any_port());
+        Ok(Balancer { process, agent, from_clients, to_hosts, to_archive, front, operators, config })
     }
 }
 
--- a/crates/testfleet/tests/referee.rs
+++ b/crates/testfleet/tests/referee.rs
@@ -16,7 +16,7 @@
 fn call(id: &str, at: Instant, answers: &[(u64, Final)]) -> Call {
     let answers = answers.iter().map(|(after, answer)| (at + ms(*after), answer.clone())).collect();
     let (asked, deadline) = (Some(at), DEADLINE);
-    Call { id: id.into(), class: "once".into(), balancer: 1, at, asked, deadline, answers }
+    Call { id: id.into(), class: "once".into(), balancer: 1, at, asked, deadline, answers, left: None }
 }
 
 fn attempt(id: &str, host: &str, at: Instant, took: Option<u64>) -> Try {
@@ -27,6 +27,7 @@
         id: id.into(),
         key,
         class,
+        time: None,
         balancer: Some(1),
         connection: 0,
         sent: at,
@@ -165,3 +166,36 @@
     assert_eq!(judged(vec![told_at(1), told_at(1_000)]), [], "to the one before, then to this one");
     assert_eq!(judged(vec![told_at(1), told_at(60)]).len(), 1, "to this one before it was ready");
 }
+
+#[test]
+fn attempts_for_clients_that_left_or_were_told_to_come_again_are_found() {
+    let at = Instant::now();
+    let left = Call { left: Some(at + ms(10)), ..call("left", at, &[(10, Final::Left)]) };
+    let evidence = |after| Evidence {
+        calls: vec![left.clone()],
+        tries: vec![attempt("left", "s-1", at + ms(after), Some(1))],
+        ..Evidence::default()
+    };
+    assert_eq!(violations(&evidence(160)), []);
+    assert_eq!(violations(&evidence(210)), [Violation::SentForLeft("left".into(), ms(100))]);
+    let held_up = vec![interruption(false, at, Some(at + ms(150)))];
+    assert_eq!(violations(&Evidence { interruptions: held_up, ..evidence(190) }), []);
+    let crossed = Evidence {
+        calls: vec![call("x", at, &[(10, Final::Crossed)])],
+        tries: vec![attempt("x", "s-1", at, Some(1))],
+        ..Evidence::default()
+    };
+    assert_eq!(violations(&crossed), [Violation::CrossedAndSent("x".into())]);
+}
+
+#[test]
+fn an_attempt_that_tells_more_time_than_is_left_is_found() {
+    let at = Instant::now();
+    let told = |time| Evidence {
+        calls: vec![call("x", at, &[(10, Final::Served)])],
+        tries: vec![Try { time: Some(ms(time)), ..attempt("x", "s-1", at + ms(400), Some(1)) }],
+        ..Evidence::default()
+    };
+    assert_eq!(violations(&told(800)), []);
+    assert_eq!(violations(&told(850)), [Violation::ToldTooMuchTime("x".into(), ms(250))]);
+}
--- a/crates/upstream/src/setup.rs
+++ b/crates/upstream/src/setup.rs
@@ -34,4 +34,6 @@
     pub idle: Duration,
     /// The longest time that any client waits.
     pub longest: Duration,
+    /// The shortest time that a class of requests gives.
+    pub shortest: Duration,
 }
--- a/crates/upstream/tests/host/mod.rs
+++ b/crates/upstream/tests/host/mod.rs
@@ -38,8 +38,17 @@
         host.apply(&list(&listener, flavor, Phase::Ready), false);
         let peer = host.peer(server_id("s-1")).unwrap().clone();
         let (dial, idle, longest) = (10 * SPAN, 10 * SPAN, SPAN);
-        let bounds =
-            Bounds { clients: 1, peers: 9, held_bytes: 0, open: 1, answer_bytes: 0, dial, idle, longest };
+        let bounds = Bounds {
+            clients: 1,
+            peers: 9,
+            held_bytes: 0,
+            open: 1,
+            answer_bytes: 0,
+            dial,
+            idle,
+            longest,
+            shortest: longest,
+        };
         Self { listener, group: host, peer, pools: Pools::new(bounds) }
     }
     /// A connection that was idle, and its far end.
--- a/crates/upstream/tests/tries.rs
+++ b/crates/upstream/tests/tries.rs
@@ -88,6 +88,7 @@
         dial: MINUTE,
         idle: MINUTE,
         longest: MINUTE,
+        shortest: MINUTE,
     })
 }
 
