Hold the records of the stand-ins against their own delays, and date what a cut link holds

Seen: nine_balancers_keep_the_rules failed with three ToldTooMuchTime of 0.6 to 1.2 s: a connection dialled through a cut link is read only when it heals, and its request was dated then. It is dated when it came now.

--- a/crates/testfleet/src/fleet.rs
+++ b/crates/testfleet/src/fleet.rs
@@ -293,6 +293,7 @@
             runs: self.archive.runs().all(),
             told: self.told.all(),
             interruptions: self.interruptions.clone(),
+            lags: self.ground.lags().all(),
             fragile: vec!["once".into()],
             left_out: records.iter().sum::<usize>() + self.archive.runs().left_out(),
         })
--- a/crates/testfleet/src/ground.rs
+++ b/crates/testfleet/src/ground.rs
@@ -1,9 +1,11 @@
 //! The one runtime, on a thread of its own, that all stand-ins and relays live on.
 
+use crate::journal::Journal;
 use std::future::Future;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::{Builder, Handle};
 use tokio::sync::oneshot;
@@ -11,10 +13,23 @@
 /// Connections that may wait to be accepted: more than all balancers open at once.
 const BACKLOG: u32 = 1024;
 
+/// How often it is looked whether the thread keeps up, and from what delay on it does not.
+const LOOKED: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(10));
+
+/// A time in which the thread of the stand-ins stood still: what they did and saw then is booked at its end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Lag {
+    /// From when.
+    pub from: Instant,
+    /// Until when.
+    pub until: Instant,
+}
+
 /// The runtime; what lives on it ends with it.
 #[derive(Debug)]
 pub struct Ground {
     handle: Handle,
+    lags: Journal<Lag>,
     end: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -32,7 +47,9 @@
             let _ = runtime.block_on(ended);
             runtime.shutdown_background();
         })?;
-        Ok(Self { handle, end: Some(end), thread: Some(thread) })
+        let lags = Journal::default();
+        handle.spawn(look_for_lags(lags.clone()));
+        Ok(Self { handle, lags, end: Some(end), thread: Some(thread) })
     }
 
     /// Where tasks are spawned.
@@ -41,12 +58,30 @@
         &self.handle
     }
 
+    /// When the thread stood still.
+    #[must_use]
+    pub fn lags(&self) -> &Journal<Lag> {
+        &self.lags
+    }
+
     /// Leaves a task to the runtime.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.handle.spawn(task);
     }
 }
 
+async fn look_for_lags(lags: Journal<Lag>) {
+    let (each, late) = LOOKED;
+    loop {
+        let from = Instant::now();
+        tokio::time::sleep(each).await;
+        let until = Instant::now();
+        if until - from >= each + late {
+            lags.push(Lag { from, until });
+        }
+    }
+}
+
 impl Drop for Ground {
     fn drop(&mut self) {
         let _ = self.end.take().map(|end| end.send(()));
--- a/crates/testfleet/src/relay/tcp.rs
+++ b/crates/testfleet/src/relay/tcp.rs
@@ -223,8 +223,20 @@
 async fn relayed(near: TcpStream, link: Link, mut rng: fastrand::Rng) -> io::Result<()> {
     near.set_zero_linger()?;
     let mut state = link.state.clone();
-    let ready = state.wait_for(|state| !state.to.cut && !state.back.cut).await;
-    let target = ready.map_err(|_| io::ErrorKind::BrokenPipe)?.target;
+    // What is written while the link is cut lies unread in our system: it was written when it came there.
+    let mut came = None;
+    let target = loop {
+        tokio::select! {
+            biased;
+            ready = state.wait_for(|state| !state.to.cut && !state.back.cut) => {
+                break ready.map_err(|_| io::ErrorKind::BrokenPipe)?.target;
+            }
+            readable = near.readable(), if came.is_none() => {
+                readable?;
+                came = Some(Instant::now());
+            }
+        }
+    };
     let socket = TcpSocket::new_v4()?;
     socket.bind(any_port())?; // before the call, so that who is called knows at once who calls
     let wrote = Arc::new(Mutex::new(Instant::now()));
@@ -239,7 +251,7 @@
     let ((near_read, near_write), (far_read, far_write)) = (split(near)?, split(far)?);
     let to = Way { link: &link, pick: |state| state.to, count: &link.counts.to, rng: rng.fork() };
     let back = Way { link: &link, pick: |state| state.back, count: &link.counts.back, rng };
-    let there = to.pass(near_read, far_write, Some(&wrote));
+    let there = to.pass(near_read, far_write, Some((&wrote, came)));
     let (there, back) = tokio::try_join!(there, back.pass(far_read, near_write, None))?;
     for stream in [there.0.as_ref(), back.0.as_ref()] {
         // Both have ended it well: what one of them has not read yet must still reach it.
@@ -258,7 +270,7 @@
 
 impl Way<'_> {
     async fn pass(
-        self, reader: OwnedReadHalf, writer: Writer, wrote: Option<&Mutex<Instant>>,
+        self, reader: OwnedReadHalf, writer: Writer, wrote: Option<(&Mutex<Instant>, Option<Instant>)>,
     ) -> io::Result<(OwnedReadHalf, Writer)> {
         let (pieces, taken) = mpsc::channel(MOST_PIECES);
         let (over, ended) = watch::channel(false);
@@ -269,7 +281,7 @@
 
     async fn read(
         mut self, mut reader: OwnedReadHalf, pieces: mpsc::Sender<(Instant, Bytes)>,
-        over: watch::Sender<bool>, wrote: Option<&Mutex<Instant>>,
+        over: watch::Sender<bool>, mut wrote: Option<(&Mutex<Instant>, Option<Instant>)>,
     ) -> io::Result<OwnedReadHalf> {
         let mut buffer = BytesMut::new();
         let mut last = Instant::now();
@@ -282,8 +294,8 @@
                 return Ok(reader);
             }
             let now = Instant::now();
-            if let Some(wrote) = wrote {
-                *wrote.lock().unwrap_or_else(PoisonError::into_inner) = now;
+            if let Some((wrote, came)) = &mut wrote {
+                *wrote.lock().unwrap_or_else(PoisonError::into_inner) = came.take().unwrap_or(now);
             }
             let faults = (self.pick)(&self.link.state.borrow());
             last = last.max(now + faults.delay + faults.jitter.mul_f64(self.rng.f64()));
--- a/crates/testfleet/tests/referee.rs
+++ b/crates/testfleet/tests/referee.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 use testfleet::clients::{Call, Final};
+use testfleet::ground::Lag;
 use testfleet::hosts::{Ending, Try};
 use testfleet::inventory::{Phase, Told};
 use testfleet::referee::{Evidence, Interruption, Violation, judge};
@@ -199,3 +200,14 @@
     assert_eq!(violations(&told(800)), []);
     assert_eq!(violations(&told(850)), [Violation::ToldTooMuchTime("x".into(), ms(250))]);
 }
+
+#[test]
+fn time_in_which_the_stand_ins_stood_still_counts_for_nobody() {
+    let at = Instant::now();
+    let calls = vec![call("late", at, &[(1_400, Final::Refused)])];
+    let lag = |from, until| vec![Lag { from: at + ms(from), until: at + ms(until) }];
+    let evidence = |lags| Evidence { calls: calls.clone(), lags, ..Evidence::default() };
+    assert_eq!(violations(&evidence(lag(0, 900))).len(), 1, "it was over by then");
+    assert_eq!(violations(&evidence(lag(1_200, 1_250))).len(), 1, "shorter than the delay");
+    assert_eq!(violations(&evidence(lag(900, 1_350))), []);
+}
