--- a/crates/front/src/client/closing.rs
+++ b/crates/front/src/client/closing.rs
@@ -1,7 +1,7 @@
 //! How a client's connection comes to its end: the client leaves, or it is closed so that nothing on its way is lost.
 
 use super::{Client, SlotState};
-use crate::Front;
+use crate::{Front, Room};
 use bytes::BytesMut;
 use futures_util::FutureExt;
 use std::io;
@@ -133,6 +133,9 @@
         let now = Instant::now();
         let until = self.schedule().linger_until(now, SHORT_LINGER, LINGER);
         let wrote_lately = self.written_at.is_some_and(|at| at.elapsed() < LINGER);
+        if self.slot == Room::None && !wrote_lately {
+            return Ok(()); // it said nothing, and others wait
+        }
         let crossing = if wrote_lately { until } else { until.min(now + CROSSING) };
         let Ok(ready) = timeout_at(crossing, self.stream.ready(Interest::READABLE)).await else {
             return Ok(());
--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -22,8 +22,9 @@
 const FIRST_COMMAND: Duration = Duration::from_millis(300);
 /// How long the lingering close of a connection that was accepted late may last.
 const LATE_CLOSE: Duration = Duration::from_millis(500);
-/// How long a newcomer without a slot may take to its first command: what it has written by now is read, and refused.
-pub(crate) const SLOTLESS: Duration = Duration::from_millis(20);
+/// How long a newcomer without a slot may take to its first command: what it has written by now is read, and refused. Others
+/// wait for their turn meanwhile.
+pub(crate) const SLOTLESS: Duration = Duration::from_millis(3);
 /// How long the process lives on behind the last answers, for their writes.
 pub const LAST_WRITES: Duration = Duration::from_millis(100);
 
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -95,6 +95,28 @@
     RecordsLeftOut(usize),
 }
 
+impl Violation {
+    /// The request that it is about, if it is about one.
+    #[must_use]
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Self::Unanswered(id)
+            | Self::AnsweredTwice(id)
+            | Self::AnsweredLate(id, _)
+            | Self::SentForLeft(id, _)
+            | Self::ToldTooMuchTime(id, _)
+            | Self::CrossedAndSent(id)
+            | Self::Lost(id, _)
+            | Self::FragileRanAgain(id, _)
+            | Self::TwoTriesAtOnce(id, _)
+            | Self::SentToLeaving { id, .. } => Some(id),
+            Self::KeptWaiting(..) | Self::StillRunning(_) | Self::OverLimit(..) | Self::RecordsLeftOut(_) => {
+                None
+            }
+        }
+    }
+}
+
 /// What the referee says.
 #[derive(Debug, Clone, Default)]
 pub struct Verdict {
--- a/crates/testfleet/src/soak/mod.rs
+++ b/crates/testfleet/src/soak/mod.rs
@@ -36,6 +36,8 @@
 const ORDER_TIME: Duration = Duration::from_secs(5);
 /// Memory of a process, in KB, as its configuration states it.
 const MEMORY_KB: u64 = 192 * 1024;
+/// Requests at fault whose records a report has.
+const RECORDS: usize = 8;
 /// What the callers of a run are given beyond it to have their answers.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
 
@@ -46,14 +48,14 @@
     pub plan: Plan,
     /// What the referee says.
     pub verdict: Verdict,
-    /// The last lines of each log, where a rule was broken.
-    pub logs: Vec<String>,
+    /// The records of requests at fault, and the last lines of each log, where a rule was broken.
+    pub records: Vec<String>,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: {}", self.plan, self.verdict)?;
-        self.logs.iter().try_for_each(|log| write!(f, "\n{log}"))
+        self.records.iter().try_for_each(|record| write!(f, "\n{record}"))
     }
 }
 
@@ -80,6 +82,7 @@
     /// Balancers that were told to end, until they are restarted.
     ending: Vec<bool>,
     violations: Vec<Violation>,
+    begun: Instant,
 }
 
 /// Plays the run of a plan with this program; its files are below this folder.
@@ -120,16 +123,16 @@
     }
     let steps = plan.events.iter().map(|(at, event)| (begun + *at, Step::Event(*event))).collect();
     let ending = vec![false; plan.balancers];
-    let mut run = Run { plan, fleet, callers, steps, ending, violations: Vec::new() };
-    run.play(begun)?;
+    let mut run = Run { plan, fleet, callers, steps, ending, violations: Vec::new(), begun };
+    run.play()?;
     drop(busy);
     Ok(run.report())
 }
 
 impl Run {
-    fn play(&mut self, begun: Instant) -> io::Result<()> {
+    fn play(&mut self) -> io::Result<()> {
         let longest = self.plan.deadlines_ms.into_iter().max().unwrap_or_default();
-        let over = begun + RUN + Duration::from_millis(longest) + LAST_ANSWERS;
+        let over = self.begun + RUN + Duration::from_millis(longest) + LAST_ANSWERS;
         while let Some((at, step)) = self.steps.pop_front() {
             wait_until(at);
             self.take(step)?;
@@ -263,11 +266,37 @@
         verdict.violations.append(&mut self.violations);
         let kept = self.callers.kept_waiting.all().into_iter();
         verdict.violations.extend(kept.map(|(it, time)| Violation::KeptWaiting(it, time)));
-        let logs = match verdict.violations.is_empty() {
-            true => Vec::new(),
-            false => (0..self.plan.balancers).map(|it| self.last_lines(it)).collect(),
-        };
-        Report { plan: self.plan, verdict, logs }
+        let at_fault = verdict.violations.iter().filter_map(Violation::request).take(RECORDS);
+        let mut records: Vec<String> = at_fault.map(|id| self.records_of(id)).collect();
+        if !verdict.violations.is_empty() {
+            records.extend((0..self.plan.balancers).map(|it| self.last_lines(it)));
+        }
+        Report { plan: self.plan, verdict, records }
+    }
+
+    /// What callers and hosts recorded of a request, in seconds from the start of the run.
+    fn records_of(&self, id: &str) -> String {
+        let since = |at: Instant| at.saturating_duration_since(self.begun).as_secs_f64();
+        let call = self.callers.calls.look(|calls| calls.iter().find(|it| it.id == id).cloned());
+        let Some(call) = call else { return format!("{id}: no record") };
+        let mut text = format!(
+            "{id} at n{}, {}, {:?}: begun {:.3}",
+            call.balancer,
+            call.class,
+            call.deadline,
+            since(call.at)
+        );
+        text += &call.asked.map_or_else(String::new, |at| format!(", written {:.3}", since(at)));
+        for (at, answer) in &call.answers {
+            text += &format!(", {answer:?} {:.3}", since(*at));
+        }
+        let mut tries = self.fleet.tries().all();
+        tries.append(&mut self.fleet.archive().runs().all());
+        for it in tries.iter().filter(|it| it.id == id) {
+            let ended = it.ended.map_or_else(String::new, |(at, how)| format!(" {how:?} {:.3}", since(at)));
+            text += &format!("; {} sent {:.3}{ended}", it.host, since(it.sent));
+        }
+        text
     }
 
     fn last_lines(&self, it: usize) -> String {
