--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -120,7 +120,7 @@
         let may_wait = queue.may_wait(Instant::now(), self.slot_wait);
         match timeout(may_wait, self.room()).await {
             Ok(Room::Slot) => {
-                let waited = queue.waited(Instant::now()).min(self.slot_wait);
+                let waited = queue.waited(Instant::now());
                 self.clone().serve(stream, address, Room::Slot, waited);
             }
             Ok(Room::None) | Err(_) => self.refuse(stream, address).await,
--- a/crates/testfleet/src/clients.rs
+++ b/crates/testfleet/src/clients.rs
@@ -88,6 +88,8 @@
     pub deadline: Duration,
     /// Final answers: one, unless something is wrong.
     pub answers: Vec<(Instant, Final)>,
+    /// When the answer ahead of it on its connection came, where it was written before that: until then it waits in turn.
+    pub turn: Option<Instant>,
     /// When its client left, if it did before an answer.
     pub left: Option<Instant>,
 }
@@ -213,7 +215,8 @@
         let (id, balancer, class) = (format!("{number:016x}"), question.balancer, question.class.clone());
         let idle = self.connection(balancer);
         let (at, asked, deadline, answers) = (Instant::now(), None, question.deadline, Vec::new());
-        let call = Call { id: id.clone(), class, balancer, at, asked, deadline, answers, left: None };
+        let call =
+            Call { id: id.clone(), class, balancer, at, asked, deadline, answers, turn: None, left: None };
         let place = self.calls.push(call);
         let asked = async {
             let mut reader = match idle {
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -263,6 +263,7 @@
 fn late(evidence: &Evidence, call: &Call) -> Option<Violation> {
     let (answered, _) = call.answers.first()?;
     let mut until = call.asked? + call.deadline;
+    until = call.turn.map_or(until, |turn| until.max(turn));
     for stop in evidence.interruptions.iter().filter(|it| it.balancer == call.balancer) {
         if stop.from <= until + ANSWER_SLACK {
             until = until.max(stop.until.unwrap_or(*answered));
--- a/crates/testfleet/src/soak/callers.rs
+++ b/crates/testfleet/src/soak/callers.rs
@@ -93,8 +93,9 @@
         let id = format!("{:016x}", self.ids.fetch_add(1, Ordering::Relaxed));
         let bytes = command(question, &id).to_vec();
         let (class, balancer, deadline) = (question.class.clone(), question.balancer, question.deadline);
-        let (at, asked, answers, left) = (Instant::now(), None, Vec::new(), None);
-        (bytes, self.calls.push(Call { id, class, balancer, at, asked, deadline, answers, left }))
+        let (at, asked, answers) = (Instant::now(), None, Vec::new());
+        let (turn, left) = (None, None);
+        (bytes, self.calls.push(Call { id, class, balancer, at, asked, deadline, answers, turn, left }))
     }
 
     fn ended(&self, place: usize, answer: Final) {
@@ -127,6 +128,9 @@
             self.calls.change(*place, |call| call.asked = written.is_ok().then_some(asked));
         }
         for (number, (_, place)) in begun.iter().enumerate() {
+            if number > 0 {
+                self.calls.change(*place, |call| call.turn = Some(Instant::now()));
+            }
             let answered = match &written {
                 Ok(()) => timeout(questions[number].deadline + GRACE, read(open)).await,
                 Err(error) => Ok(Err(io::Error::from(error.kind()))),
