--- a/crates/spindlebeam/benches/lists.rs
+++ b/crates/spindlebeam/benches/lists.rs
@@ -5,6 +5,7 @@
 //! connections made to endpoints; and what its log says of the list and the longest hold-up.
 
 use serde_json::json;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use testfleet::fleet::Fleet;
 use testfleet::hosts::Manner;
@@ -20,6 +21,27 @@
 const BEFORE: usize = 400;
 const GRACE: Duration = Duration::from_millis(250);
 
+/// A fifth of a core: the process runs for so long, and then stands still for so long.
+const FIFTH: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
+
+/// What of a core the process has.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Core {
+    Whole,
+    Fifth,
+}
+
+/// Gives the process its part of a core until the run is over.
+fn give(core: Core, fleet: &Fleet, over: &AtomicBool) {
+    let process = &fleet.balancer(0).process;
+    while core == Core::Fifth && !over.load(Ordering::Relaxed) {
+        let _ = process.halt();
+        std::thread::sleep(FIFTH.1); // what is measured: a process that is given a part of its time
+        let _ = process.resume();
+        std::thread::sleep(FIFTH.0);
+    }
+}
+
 /// What is told in the middle of a run.
 #[derive(Debug, Clone, Copy)]
 enum Told {
@@ -27,7 +49,7 @@
     Changes(Form),
 }
 
-fn run(program: &str, endpoints: usize, told: Told, keys: u64) -> std::io::Result<()> {
+fn run(program: &str, endpoints: usize, told: Told, keys: u64, core: Core) -> std::io::Result<()> {
     let fleet = Fleet::builder(program).balancers(1).hosts(HOSTS).ids(endpoints / HOSTS).seed(40);
     let fleet = fleet.overrides(json!({"limits": {"sockets": 512}})).start()?;
     (0..HOSTS).for_each(|number| fleet.host(number).behave(Manner::HoldsAll));
@@ -38,12 +60,17 @@
     fleet.clients().sent(BEFORE);
     let mut behind: Option<Instant> = None;
     let drained = HOSTS / 4;
-    if let Told::Changes(form) = told {
-        fleet.balancer(0).agent.speak(form);
-        fleet.change_all(0..drained, Phase::Draining);
-        behind = Some(fleet.told_of(0, drained - 1, Phase::Draining));
-    }
-    fleet.clients().answered(REQUESTS);
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| give(core, &fleet, &over));
+        if let Told::Changes(form) = told {
+            fleet.balancer(0).agent.speak(form);
+            fleet.change_all(0..drained, Phase::Draining);
+            behind = Some(fleet.told_of(0, drained - 1, Phase::Draining));
+        }
+        fleet.clients().answered(REQUESTS);
+        over.store(true, Ordering::Relaxed);
+    });
     let after = used();
     let names: Vec<&str> = (0..drained).map(|number| fleet.host(number).name()).collect();
     let late = fleet.tries().look(|all| {
@@ -63,7 +90,7 @@
     });
     let verdict = fleet.judge();
     println!(
-        "{endpoints:>5} endpoints, {keys:>8} keys, {told:?}: {} late, the last {:.2} s; {:.2} s of processor time, {} MB; \
+        "{endpoints:>5} endpoints, {keys:>8} keys, {core:?} core, {told:?}: {} late, the last {:.2} s; {:.2} s of processor time, {} MB; \
          longest answer {:.3} s; {made} connections; {} served, {} violations",
         late.0,
         late.1.as_secs_f64(),
@@ -89,11 +116,14 @@
     ];
     for told in cases {
         for endpoints in [200, 800, 3_200] {
-            run(&program, endpoints, told, 200)?;
+            run(&program, endpoints, told, 200, Core::Whole)?;
         }
     }
     for endpoints in [16, 200, 3_200] {
-        run(&program, endpoints, Told::Nothing, 1_000_000)?;
+        run(&program, endpoints, Told::Nothing, 1_000_000, Core::Whole)?;
+    }
+    for endpoints in [200, 3_200] {
+        run(&program, endpoints, form(true, true, None), 200, Core::Fifth)?;
     }
     Ok(())
 }
