Read answers of endpoints by at least 1 KiB, and measure a first list

Seen by searching all readers of sockets for the same small reads: the buffer of a connection to an endpoint began without a capacity, and was read 64 bytes at a time at first.

--- a/crates/spindlebeam/benches/turns.rs
+++ b/crates/spindlebeam/benches/turns.rs
@@ -144,6 +144,17 @@
                 },
             ),
         ),
+        (
+            "the module, a first list",
+            median(
+                || (Router::new(settings(), 1, 1), entries(&first)),
+                |(mut it, entries)| {
+                    let mut out = Vec::new();
+                    it.handle(2, Event::Servers(ListKind::Full, entries), &mut out);
+                    it
+                },
+            ),
+        ),
         (
             "a request for a new key",
             median(
--- a/crates/upstream/src/peer/exchange.rs
+++ b/crates/upstream/src/peer/exchange.rs
@@ -98,6 +98,9 @@
 /// breaks meanwhile proves that the request never ran: most that break do so within a round trip of the first bytes.
 const HELD_BACK: Duration = Duration::from_micros(2_500);
 
+/// Bytes of an answer that are read at a time, at the least: most are no longer.
+const READ: usize = 1024;
+
 /// How far a try has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Stage {
@@ -231,7 +234,8 @@
     match timeout(time, TcpStream::connect(peer.addr)).await {
         Ok(Ok(stream)) => {
             stream.set_nodelay(true).ok()?;
-            let connection = Connection { stream, buffer: BytesMut::new(), _place: place.0 };
+            // Without a capacity of its own it would be read 64 bytes at a time.
+            let connection = Connection { stream, buffer: BytesMut::with_capacity(READ), _place: place.0 };
             connection.quiet().then_some(connection) // whatever speaks first would be taken for an answer
         }
         Ok(Err(error)) => {
