--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -69,6 +69,7 @@
     if let Some(accepted) = listener.accept().now_or_never() {
         return accepted;
     }
+    queue.found_empty(Instant::now());
     let accepted = listener.accept().await;
     queue.found_empty(Instant::now());
     accepted
@@ -101,6 +102,7 @@
                     next_newcomer(&listener, &mut queue).await
                 } => accepted,
                 _ = report.tick() => {
+                    queue.found_empty(Instant::now()); // nothing had come up to now
                     self.report();
                     continue;
                 }
--- a/crates/spindlebeam/tests/crowd.rs
+++ b/crates/spindlebeam/tests/crowd.rs
@@ -1,4 +1,4 @@
-//! More clients than connection slots as the process ends: what each has written is answered before its connection ends.
+//! More clients than connection slots: what each has written is answered in its time, and before its connection ends.
 
 mod platform;
 
@@ -11,20 +11,47 @@
 /// Clients beyond them.
 const CROWD: usize = 60;
 
-/// A request is taken once it is written to a connection that the machine has accepted, whether the process has or not. With the
-/// listener, what was not accepted by the process would be reset.
-#[test]
-fn sigterm_refuses_what_clients_without_a_slot_have_written() {
-    let mut p = Platform::configured(1, 1024, |config| config["limits"]["sockets"] = SOCKETS.into());
-    // All wait for the one fetch of their key, which hangs.
+fn platform() -> Platform {
+    Platform::configured(1, 1024, |config| config["limits"]["sockets"] = SOCKETS.into())
+}
+
+/// Takes all slots: these clients wait for the one fetch of their key, which hangs for as long as the request at the origin is kept.
+fn take_all_slots(p: &Platform) -> (Vec<Client>, Asked) {
     let asks = || {
         let mut client = p.balancer.client();
         client.get("leer", "1");
         p.peers[0].asked().miss();
         client
     };
-    let mut busy: Vec<Client> = (0..SLOTS).map(|_| asks()).collect();
-    let _hangs = p.origin.asked();
+    let busy = (0..SLOTS).map(|_| asks()).collect();
+    (busy, p.origin.asked())
+}
+
+#[test]
+fn newcomer_without_a_slot_is_refused_in_its_time_and_the_next_has_the_slot_that_falls_free() {
+    let p = platform();
+    let (mut busy, _hangs) = take_all_slots(&p);
+    let [mut one, mut behind] = [(); 2].map(|()| p.balancer.client());
+    one.get("leer", "1");
+    behind.get("leer", "1");
+    for client in [&mut one, &mut behind] {
+        assert!(client.answer().starts_with("-BUSY"));
+        assert!(client.ended());
+    }
+    busy.pop(); // it leaves
+    let mut next = p.balancer.client();
+    next.send(&["PING"]);
+    assert_eq!(next.answer(), "+PONG");
+    next.get("leer", "1");
+    p.peers[0].asked().miss(); // it is served as any
+}
+
+/// A request is taken once it is written to a connection that the machine has accepted, whether the process has or not. With the
+/// listener, what was not accepted by the process would be reset.
+#[test]
+fn sigterm_refuses_what_clients_without_a_slot_have_written() {
+    let mut p = platform();
+    let (mut busy, _hangs) = take_all_slots(&p);
     let mut crowd: Vec<Client> = (0..CROWD).map(|_| p.balancer.client()).collect();
     crowd.iter_mut().for_each(|client| client.get("leer", "1"));
     p.balancer.logged("client connections are busy");
--- a/crates/testfleet/examples/soak.rs
+++ b/crates/testfleet/examples/soak.rs
@@ -1,4 +1,5 @@
-//! Plays soak runs one after the other: `soak PROGRAM FIRST_SEED RUNS`. Prints a line a seed; ends with 1 where a rule was broken.
+//! Plays soak runs one after the other: `soak PROGRAM FIRST_SEED RUNS [crowd]`; with
+//! `crowd` each run has a busy crowd at a balancer that is told to end. Prints a line a seed; ends with 1 where a rule was broken.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -6,9 +7,13 @@
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
-    let [program, first, runs] = &words[..] else {
-        eprintln!("usage: soak PROGRAM FIRST_SEED RUNS");
-        return ExitCode::FAILURE;
+    let (program, first, runs, draw): (_, _, _, fn(u64) -> Plan) = match &words[..] {
+        [program, first, runs] => (program, first, runs, Plan::draw),
+        [program, first, runs, crowd] if crowd == "crowd" => (program, first, runs, Plan::draw_with_crowd),
+        _ => {
+            eprintln!("usage: soak PROGRAM FIRST_SEED RUNS [crowd]");
+            return ExitCode::FAILURE;
+        }
     };
     let (Ok(first), Ok(runs)) = (first.parse::<u64>(), runs.parse::<u64>()) else {
         eprintln!("FIRST_SEED and RUNS are whole numbers");
@@ -16,7 +21,7 @@
     };
     let mut broken = 0;
     for seed in first..first + runs {
-        match run(&PathBuf::from(program), &std::env::temp_dir(), Plan::draw(seed)) {
+        match run(&PathBuf::from(program), &std::env::temp_dir(), draw(seed)) {
             Ok(report) => {
                 broken += u64::from(!report.verdict.violations.is_empty());
                 println!("{report}");
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -134,6 +134,8 @@
     pub lost_with_a_killed: usize,
     /// Not taken, or left by their clients.
     pub not_taken: usize,
+    /// Written within 0.1 s before their connection's end, and not read.
+    pub crossed: usize,
     /// Tries at cache hosts.
     pub tries: usize,
     /// Runs at the archive.
@@ -145,10 +147,10 @@
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { seed, calls, served, refused, failed, .. } = self;
-        let Self { not_taken, lost_with_a_killed: lost, tries, runs, violations, .. } = self;
+        let Self { not_taken, crossed, lost_with_a_killed: lost, tries, runs, violations, .. } = self;
         write!(f, "seed {seed:#x}: {calls} calls, {served} served, {refused} refused, {failed} failed, ")?;
-        if *not_taken > 0 {
-            write!(f, "{not_taken} not taken or left, ")?;
+        if not_taken + crossed > 0 {
+            write!(f, "{not_taken} not taken or left, {crossed} crossed by a close, ")?;
         }
         write!(f, "{lost} lost with a killed balancer; {tries} tries, {runs} runs; ")?;
         write!(f, "{} violations{}", violations.len(), if violations.is_empty() { "" } else { ":" })?;
@@ -196,7 +198,8 @@
                 Final::Served => verdict.served += 1,
                 Final::Refused | Final::NotReady => verdict.refused += 1,
                 Final::Failed(_) => verdict.failed += 1,
-                Final::NotTaken | Final::Crossed | Final::Left => verdict.not_taken += 1,
+                Final::NotTaken | Final::Left => verdict.not_taken += 1,
+                Final::Crossed => verdict.crossed += 1,
                 Final::Lost(_) if was_killed(evidence, call.balancer, call.at, *at) => {
                     verdict.lost_with_a_killed += 1;
                 }
--- a/crates/testfleet/src/soak/plan.rs
+++ b/crates/testfleet/src/soak/plan.rs
@@ -143,6 +143,16 @@
         }
     }
 
+    /// The run of this seed with a busy crowd at the first balancer, which is told to end in the middle of it.
+    #[must_use]
+    pub fn draw_with_crowd(seed: u64) -> Self {
+        const TERMINATED: Duration = Duration::from_millis(2_000);
+        let mut plan = Self { crowd: Crowd::Busy(CROWD), sockets: SOCKETS[0], ..Self::draw(seed) };
+        plan.events.push((TERMINATED, Event::Signals(0, Series::Terminate)));
+        plan.events.sort_by_key(|(at, _)| *at);
+        plan
+    }
+
     /// What goes over the configuration of each balancer.
     #[must_use]
     pub fn overrides(&self) -> Value {
