--- a/crates/spindlebeam/benches/turns.rs
+++ b/crates/spindlebeam/benches/turns.rs
@@ -35,7 +35,7 @@
 }
 
 fn line(endpoints: usize, draining: bool, indented: bool) -> String {
-    let phase = |number: usize| if draining && number % 4 == 0 { "draining" } else { "ready" };
+    let phase = |number: usize| if draining && number.is_multiple_of(4) { "draining" } else { "ready" };
     let member = |number: usize| {
         serde_json::json!({"id": format!("s-{number:08x}"), "host_port": "127.0.0.1:6379", "locality": "a",
             "flavor": "m", "cell": 0, "phase": phase(number), "size": 1.0, "up_since_ms": 0})
