Take back the capacity of endpoints' buffers: a third of all dials failed with it

At fault: BytesMut::with_capacity in dial(). Kept: the reason why a dialled connection is not used is logged (debug).

--- a/crates/upstream/src/peer/exchange.rs
+++ b/crates/upstream/src/peer/exchange.rs
@@ -98,9 +98,6 @@
 /// breaks meanwhile proves that the request never ran: most that break do so within a round trip of the first bytes.
 const HELD_BACK: Duration = Duration::from_micros(2_500);
 
-/// Bytes of an answer that are read at a time, at the least: most are no longer.
-const READ: usize = 1024;
-
 /// How far a try has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Stage {
@@ -233,10 +230,17 @@
 pub async fn dial(place: DialPlace, peer: &Peer, time: Duration) -> Option<Connection> {
     match timeout(time, TcpStream::connect(peer.addr)).await {
         Ok(Ok(stream)) => {
-            stream.set_nodelay(true).ok()?;
-            // Without a capacity of its own it would be read 64 bytes at a time.
-            let connection = Connection { stream, buffer: BytesMut::with_capacity(READ), _place: place.0 };
-            connection.quiet().then_some(connection) // whatever speaks first would be taken for an answer
+            if let Err(error) = stream.set_nodelay(true) {
+                log::debug!("peer {}: dialled, and broken: {error}", peer.name);
+                return None;
+            }
+            let connection = Connection { stream, buffer: BytesMut::new(), _place: place.0 };
+            if let Err(heard) = connection.heard_nothing() {
+                // Whatever speaks first would be taken for an answer.
+                log::debug!("peer {}: dialled, and not quiet: {heard}", peer.name);
+                return None;
+            }
+            Some(connection)
         }
         Ok(Err(error)) => {
             log::debug!("peer {}: dialling: {error}", peer.name);
--- a/crates/upstream/src/peer/mod.rs
+++ b/crates/upstream/src/peer/mod.rs
@@ -43,12 +43,35 @@
     /// being served with what came behind the answer to another. The system itself is asked: what the runtime knows of
     /// the socket is as old as its last look at all of them.
     fn quiet(&self) -> bool {
+        self.heard_nothing().is_ok()
+    }
+
+    /// The same, and what was heard otherwise.
+    fn heard_nothing(&self) -> Result<(), Heard> {
+        if !self.buffer.is_empty() {
+            return Err(Heard::Bytes);
+        }
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.stream).peek(&mut byte);
-        self.buffer.is_empty() && peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(Heard::Error(error)),
+            Ok(0) => Err(Heard::End),
+            Ok(_) => Err(Heard::Bytes),
+        }
     }
 }
 
+/// What has come on a connection on which nothing may come.
+#[derive(Debug, thiserror::Error)]
+enum Heard {
+    #[error("bytes that nobody asked for")]
+    Bytes,
+    #[error("its end")]
+    End,
+    #[error(transparent)]
+    Error(std::io::Error),
+}
+
 /// What a try runs on.
 #[derive(Debug)]
 pub enum Line {
