Give a silent newcomer without a slot 0.3 s unless a crowd is being refused

Its clients rest and do not answer a close, so that slots fall free only after the lingering close; the newcomer was refused after 0.5 s, and had 3 ms for its first command. Change: up to eight newcomers without a slot have 0.3 s each, more have 3 ms as before; behind its refusal a connection closes at once.

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -21,6 +21,8 @@
 const LAST_ACCEPTS: Duration = Duration::from_millis(20);
 /// Connections without a slot that are open at a time, to be refused: of the descriptors that are kept back from clients.
 const MOST_SLOTLESS: usize = 16;
+/// As many of these are no crowd: each may take its time to its first command.
+pub(crate) const FEW_SLOTLESS: usize = MOST_SLOTLESS / 2;
 /// How often what has become of client connections is logged.
 const REPORT: Duration = Duration::from_secs(10);
 /// The part of the shortest time of a request for which a newcomer may wait for a slot, and the longest wait.
--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -249,7 +249,7 @@
         let schedule = self.front.shutdown.get().schedule(&activity);
         match self.slot {
             Room::Slot => schedule,
-            Room::None => schedule.without_slot(self.opened),
+            Room::None => schedule.without_slot(&activity, self.patience),
         }
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -114,7 +114,10 @@
             Room::Slot => self.decide(|places, now| places.enter(now, id, address)),
             Room::None => {
                 self.slotless.set(self.slotless.get() + 1);
-                Patience(shutdown::SLOTLESS.as_micros() as Micros)
+                // Guards one that is slow to say its first word; a crowd has no time for that.
+                let few = self.slotless.get() <= accept::FEW_SLOTLESS;
+                let patience = if few { shutdown::FIRST_COMMAND } else { shutdown::SLOTLESS };
+                Patience(patience.as_micros() as Micros)
             }
         };
         let client = client::Client::new(self.clone(), stream, id, close_signal, patience, room, waited);
--- a/crates/front/src/shutdown.rs
+++ b/crates/front/src/shutdown.rs
@@ -19,16 +19,16 @@
 const DRAIN_CLOSED: Duration = Duration::from_millis(3_250);
 /// How long a connection that was just accepted may take to its first command while connections are to close. Guards
 /// against closing it as that command is on its way.
-const FIRST_COMMAND: Duration = Duration::from_millis(300);
+pub(crate) const FIRST_COMMAND: Duration = Duration::from_millis(300);
 /// How long the lingering close of a connection that was accepted late may last.
 const LATE_CLOSE: Duration = Duration::from_millis(500);
-/// How long a newcomer without a slot may take to its first command: what it has written by now is read, and refused. Others
-/// wait for their turn meanwhile.
+/// How long a newcomer without a slot may take to its first command where many are refused: what it has written by now is read.
+/// Others wait for their turn meanwhile.
 pub(crate) const SLOTLESS: Duration = Duration::from_millis(3);
 /// How long the process lives on behind the last answers, for their writes.
 pub const LAST_WRITES: Duration = Duration::from_millis(100);
 
-/// How long after it was accepted the lingering close of a connection without a slot may last: the next waits for its descriptor.
+/// How long behind its time the lingering close of a connection without a slot may last: the next waits for its descriptor.
 const SLOTLESS_CLOSE: Duration = Duration::from_millis(60);
 /// The process is to end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -200,15 +200,12 @@
     }
 
     /// The schedule of a connection that has no slot: all that comes on it is shed, and it is closed soon.
-    pub(crate) fn without_slot(self, opened: Instant) -> Self {
-        let until = Some(opened + SLOTLESS);
-        let shed = Self {
-            idle: until,
-            shed: Some(opened),
-            read: until,
-            closed: Some(opened + SLOTLESS_CLOSE),
-            ..self
-        };
+    pub(crate) fn without_slot(self, connection: &Activity, patience: Duration) -> Self {
+        let opened = connection.opened;
+        let until = Some(opened + patience);
+        let idle = if connection.has_asked { Some(opened) } else { until };
+        let closed = Some(opened + patience + SLOTLESS_CLOSE);
+        let shed = Self { idle, shed: Some(opened), read: until, closed, ..self };
         self.and(shed)
     }
 
