Count a hold-up for every newcomer that came in it

Clients dial anew while the process is stopped; of those in the queue only the newcomers accepted in the first turn were taken for as old as the stop. At fault: next_newcomer, which took the queue for empty up to the wake-up. Change: up to the hold-up before it.

--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -7,6 +7,7 @@
 use crate::{Front, Room};
 use admission::Places;
 use futures_util::FutureExt;
+use gateway::heartbeat::Heartbeat;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -67,13 +68,17 @@
 }
 
 /// The next newcomer. Nothing is lost where this is dropped before it is done.
-async fn next_newcomer(listener: &TcpListener, queue: &mut Queue) -> io::Result<(TcpStream, SocketAddr)> {
+async fn next_newcomer(
+    listener: &TcpListener, queue: &mut Queue, heartbeat: &Heartbeat,
+) -> io::Result<(TcpStream, SocketAddr)> {
     if let Some(accepted) = listener.accept().now_or_never() {
         return accepted;
     }
     queue.found_empty(Instant::now());
     let accepted = listener.accept().await;
-    queue.found_empty(Instant::now());
+    // Guards those behind it: all may have come while the thread was held up.
+    let now = Instant::now();
+    queue.found_empty(now.checked_sub(heartbeat.overdue(now)).unwrap_or(now));
     accepted
 }
 
@@ -101,7 +106,7 @@
                     if shared {
                         self.room().await;
                     }
-                    next_newcomer(&listener, &mut queue).await
+                    next_newcomer(&listener, &mut queue, &self.handle.heartbeat).await
                 } => accepted,
                 _ = report.tick() => {
                     queue.found_empty(Instant::now()); // nothing had come up to now
