--- a/crates/testfleet/src/soak/mod.rs
+++ b/crates/testfleet/src/soak/mod.rs
@@ -296,6 +296,11 @@
             let ended = it.ended.map_or_else(String::new, |(at, how)| format!(" {how:?} {:.3}", since(at)));
             text += &format!("; {} sent {:.3}{ended}", it.host, since(it.sent));
         }
+        for it in self.fleet.interruptions.iter().filter(|it| it.balancer == call.balancer) {
+            let how = if it.killed { "killed" } else { "stopped" };
+            let until = it.until.map_or_else(String::new, |until| format!(" until {:.3}", since(until)));
+            text += &format!("; n{} {how} {:.3}{until}", call.balancer, since(it.from));
+        }
         text
     }
 
--- a/crates/testfleet/src/soak/plan.rs
+++ b/crates/testfleet/src/soak/plan.rs
@@ -204,6 +204,6 @@
         write!(f, "{sockets} sockets, {}, ", if self.pushed { "pushed" } else { "asked for" })?;
         write!(f, "{:?}, {} callers, crowd {:?}, ", self.form, self.callers, self.crowd)?;
         write!(f, "{} busy processes", self.busy_processes)?;
-        self.events.iter().try_for_each(|(at, event)| write!(f, "; {:.2} s {event:?}", at.as_secs_f64()))
+        self.events.iter().try_for_each(|(at, event)| write!(f, "; {:.3} s {event:?}", at.as_secs_f64()))
     }
 }
--- a/crates/testfleet/tests/referee.rs
+++ b/crates/testfleet/tests/referee.rs
@@ -223,3 +223,24 @@
     assert_eq!(judged(Some(at + ms(1_390))), []);
     assert_eq!(judged(Some(at + ms(1_200))), [Violation::AnsweredLate("late".into(), ms(200))]);
 }
+
+#[test]
+fn a_request_that_ends_with_a_killed_process_is_lost_with_it_and_was_not_crossed_by_a_close() {
+    let at = Instant::now();
+    let mut evidence = Evidence {
+        calls: vec![call("x", at, &[(7, Final::Crossed)])],
+        runs: vec![attempt("x", "origin", at + ms(6), Some(1))],
+        ..Evidence::default()
+    };
+    let crossed = [Violation::CrossedAndSent("x".into())];
+    evidence.interruptions = vec![interruption(true, at + ms(5), Some(at + ms(300)))];
+    let verdict = judge(&evidence);
+    assert_eq!(verdict.violations, []);
+    assert_eq!((verdict.lost_with_a_killed, verdict.crossed), (1, 0));
+    evidence.interruptions = vec![interruption(true, at + ms(8), Some(at + ms(300)))];
+    assert_eq!(violations(&evidence), crossed, "killed behind the close");
+    evidence.interruptions = vec![interruption(true, at - ms(5), Some(at + ms(300)))];
+    assert_eq!(violations(&evidence), crossed, "written to the next process, and closed by that");
+    evidence.interruptions = vec![interruption(false, at + ms(5), Some(at + ms(300)))];
+    assert_eq!(violations(&evidence), crossed, "one that is stopped closes nothing");
+}
