Pass over endpoints that cannot rank for a key without a logarithm

Change: -ln(u) is never below 1 - u, so an endpoint whose 1 - u is above what the last kept rank allows is passed over.

--- a/crates/decide/src/policy/keys.rs
+++ b/crates/decide/src/policy/keys.rs
@@ -14,8 +14,14 @@
         let local = self.settings.zones > 1 && self.settings.cross_zone_price >= LOCAL_PRICE;
         let (mut best, mut len) = ([(f64::MAX, 0); RANKS], 0);
         for (slot, server) in (0..).zip(&self.fleet.servers).filter(|(n, s)| s.caches() && allow(*n)) {
+            len = (len + 1).min(RANKS);
             let unit = (mix(key.0 ^ mix(server.entry.id.0)) >> 11) as f64 / (1_u64 << 53) as f64;
-            let mut item = (-unit.max(1e-18).ln() / (server.weight * server.warmth * server.part), slot);
+            let weight = server.weight * server.warmth * server.part;
+            // -ln(u) is never below 1 - u: in a large fleet most servers need no logarithm to be passed over.
+            if 1.0 - unit >= best[RANKS - 1].0 * weight {
+                continue;
+            }
+            let mut item = (-unit.max(1e-18).ln() / weight, slot);
             if local && server.entry.zone != self.settings.zone {
                 item.0 *= FAR;
             }
@@ -24,7 +30,6 @@
                     mem::swap(&mut item, place);
                 }
             }
-            len = (len + 1).min(RANKS);
         }
         let slots = best.map(|(_, slot)| slot);
         Row { slots, len, generation: self.fleet.generation, asked: Lately::default() }
