Date log lines to the millisecond, and report what stood beside a request at fault in a soak

Change: a report has the calls that were open beside one at fault, the lines of its balancer's log about it (RUST_LOG=info,gateway::engine=debug) and those of former processes; the program dates its lines to the millisecond. benches/lists.rs prints descriptors and the bytes of lists as well, for the growth table.

--- a/crates/spindlebeam/benches/lists.rs
+++ b/crates/spindlebeam/benches/lists.rs
@@ -1,8 +1,8 @@
 //! What lists cost in fleets of growing size, one process under the same load: `cargo bench -p spindlebeam --bench lists`.
 //!
 //! Prints a row for each form of list and size: requests that went to draining endpoints later than 0.25 s behind the list's
-//! last byte, and the last of them; processor time and peak memory of the process over the run; the longest answer;
-//! connections made to endpoints; and what its log says of the list and the longest hold-up.
+//! last byte, and the last of them; processor time of the process over the run, its memory and descriptors at the end; the longest
+//! answer; connections made to endpoints; and the bytes of lists that discovery wrote, from the start on.
 
 use serde_json::json;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,7 +10,7 @@
 use testfleet::fleet::Fleet;
 use testfleet::hosts::Manner;
 use testfleet::inventory::{Form, Phase};
-use testfleet::process::uses;
+use testfleet::process::{descriptors, uses};
 
 /// Stand-ins for all endpoints, so that a quarter of them can drain.
 const HOSTS: usize = 8;
@@ -71,7 +71,8 @@
         fleet.clients().answered(REQUESTS);
         over.store(true, Ordering::Relaxed);
     });
-    let after = used();
+    let (after, descriptors, list_bytes) =
+        (used(), descriptors(process), fleet.balancer(0).agent.list_bytes());
     let names: Vec<&str> = (0..drained).map(|number| fleet.host(number).name()).collect();
     let late = fleet.tries().look(|all| {
         let sent = all.iter().filter(|it| names.contains(&&it.host[..]));
@@ -91,12 +92,13 @@
     let verdict = fleet.judge();
     println!(
         "{endpoints:>5} endpoints, {keys:>8} keys, {core:?} core, {told:?}: {} late, the last {:.2} s; {:.2} s of processor time, {} MB; \
-         longest answer {:.3} s; {made} connections; {} served, {} violations",
+         longest answer {:.3} s; {made} connections; {descriptors} descriptors; {} KB of lists; {} served, {} violations",
         late.0,
         late.1.as_secs_f64(),
         (after.1 - before.1) as f64 / 1e6,
         after.0 / 1024,
         longest.as_secs_f64(),
+        list_bytes / 1024,
         verdict.served,
         verdict.violations.len(),
     );
--- a/crates/spindlebeam/src/main.rs
+++ b/crates/spindlebeam/src/main.rs
@@ -26,7 +26,9 @@
 The log goes to standard error; RUST_LOG sets its level (info if not set).";
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let level = env_logger::Env::default().default_filter_or("info");
+    // Grace periods are fractions of a second: lines dated to the second cannot tell what came before what.
+    env_logger::Builder::from_env(level).format_timestamp_millis().init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/testfleet/src/inventory.rs
+++ b/crates/testfleet/src/inventory.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -132,6 +133,8 @@
     changed: watch::Sender<()>,
     asked: Journal<String>,
     told: Journal<Told>,
+    /// Bytes of lists and changes written so far, without the heads of answers.
+    list_bytes: AtomicU64,
 }
 
 impl Agent {
@@ -148,7 +151,8 @@
         let state =
             State { first: members, changes: Vec::new(), held_from: None, silent_below: 0, watches: 0, form };
         let (state, changed, asked) = (Mutex::new(state), watch::Sender::new(()), Journal::default());
-        let shared = Arc::new(Shared { balancer, state, changed, asked, told });
+        let list_bytes = AtomicU64::new(0);
+        let shared = Arc::new(Shared { balancer, state, changed, asked, told, list_bytes });
         handle.spawn(Arc::clone(&shared).accept(listener));
         Ok(Self { addr, shared })
     }
@@ -162,6 +166,11 @@
     pub fn asked(&self) -> &Journal<String> {
         &self.shared.asked
     }
+    /// Bytes of lists and changes that it has written so far.
+    #[must_use]
+    pub fn list_bytes(&self) -> u64 {
+        self.shared.list_bytes.load(Ordering::Relaxed)
+    }
     /// The whole list as it is now, for a balancer that is to start with one known from before.
     #[must_use]
     pub fn list(&self) -> Value {
@@ -278,6 +287,7 @@
                 (state.form.worded(&state.list()), state.shown())
             };
             self.asked.push(path);
+            self.list_bytes.fetch_add(list.len() as u64, Ordering::Relaxed);
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
             stream.write_all((head + &list).as_bytes()).await?;
             self.tell(&shown);
@@ -303,6 +313,7 @@
                 (number < state.silent_below, news, line, state.open(), state.form.piece)
             };
             if !silent {
+                self.list_bytes.fetch_add(line.len() as u64, Ordering::Relaxed);
                 let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
                 for piece in chunk.as_bytes().chunks(piece.unwrap_or(chunk.len())) {
                     stream.write_all(piece).await?;
--- a/crates/testfleet/src/process.rs
+++ b/crates/testfleet/src/process.rs
@@ -18,6 +18,9 @@
 /// Lines of the log that a failed wait shows.
 const LINES_SHOWN: usize = 20;
 
+/// What programs log unless `RUST_LOG` is set: a run that is traced sets `debug`.
+const DEFAULT_LOG_LEVEL: &str = "info";
+
 /// How the program is started.
 #[derive(Debug, Clone, Default)]
 pub struct Launch {
@@ -49,6 +52,8 @@
     child: Child,
     reaped: Option<ExitStatus>,
     lines: Journal<String>,
+    /// The logs of those that came before it, the oldest first.
+    former_lines: Vec<Journal<String>>,
     ended: Journal<()>,
     read: AtomicUsize,
 }
@@ -63,7 +68,8 @@
         fs::write(folder.join("config.json"), config.to_string())?;
         let (child, lines, ended) = spawn(handle, &launch, folder)?;
         let (handle, folder, read) = (handle.clone(), folder.to_owned(), AtomicUsize::new(0));
-        Ok(Self { handle, launch, folder, child, reaped: None, lines, ended, read })
+        let former_lines = Vec::new();
+        Ok(Self { handle, launch, folder, child, reaped: None, lines, former_lines, ended, read })
     }
 
     /// How it is started; a change counts from the next restart.
@@ -86,6 +92,13 @@
         &self.lines
     }
 
+    /// All lines of its log that have this part, those of the processes before it first.
+    #[must_use]
+    pub fn lines_with(&self, part: &str) -> Vec<String> {
+        let logs = self.former_lines.iter().chain([&self.lines]);
+        logs.flat_map(|log| log.all()).filter(|line| line.contains(part)).collect()
+    }
+
     /// Waits for the next line of the log of which this is so; lines before it are passed over.
     ///
     /// # Panics
@@ -201,7 +214,9 @@
             folder::empty(&self.disk())?;
         }
         fs::write(self.folder.join("config.json"), config.to_string())?;
-        (self.child, self.lines, self.ended) = spawn(&self.handle, &self.launch, &self.folder)?;
+        let (child, lines, ended) = spawn(&self.handle, &self.launch, &self.folder)?;
+        self.former_lines.push(std::mem::replace(&mut self.lines, lines));
+        (self.child, self.ended) = (child, ended);
         (self.reaped, self.read) = (None, AtomicUsize::new(0));
         Ok(())
     }
@@ -277,7 +292,7 @@
         .arg("--config")
         .arg(folder.join("config.json"))
         .args(&launch.args)
-        .env("RUST_LOG", "info")
+        .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| DEFAULT_LOG_LEVEL.into()))
         .env("TMPDIR", folder.join("disk"))
         .env("SPINDLEBEAM_CLOCK_OFFSET_MS", launch.clock_offset_ms.to_string())
         .envs(launch.variables.iter().map(|(name, value)| (name, value)))
--- a/crates/testfleet/src/soak/mod.rs
+++ b/crates/testfleet/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod plan;
 
+use crate::clients::Call;
 use crate::config::CLASSES;
 use crate::fleet::Fleet;
 use crate::hosts::Manner;
@@ -38,6 +39,10 @@
 const MEMORY_KB: u64 = 192 * 1024;
 /// Requests at fault whose records a report has.
 const RECORDS: usize = 8;
+/// Lines of the balancer's log about each of these.
+const LINES_OF_REQUEST: usize = 40;
+/// Requests beside each of these whose records a report has too.
+const BESIDE: usize = 24;
 /// What the callers of a run are given beyond it to have their answers.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
 
@@ -276,11 +281,44 @@
 
     /// What callers and hosts recorded of a request, in seconds from the start of the run.
     fn records_of(&self, id: &str) -> String {
-        let since = |at: Instant| at.saturating_duration_since(self.begun).as_secs_f64();
         let call = self.callers.calls.look(|calls| calls.iter().find(|it| it.id == id).cloned());
         let Some(call) = call else { return format!("{id}: no record") };
+        let beside = self.calls_beside(&call).into_iter().map(|call| self.record_of(&call));
+        let record = beside.fold(self.record_of(&call), |text, call| format!("{text}\n    beside {call}"));
+        let lines = self.log_lines_of(&call).into_iter();
+        lines.fold(record, |text, line| format!("{text}\n    {line}"))
+    }
+
+    /// What its balancer logged of a request: at `debug` the line that takes it in names its client's id and the number by which
+    /// all others know it.
+    fn log_lines_of(&self, call: &Call) -> Vec<String> {
+        let process = &self.fleet.balancer(call.balancer).process;
+        let mut lines = process.lines_with(&call.id);
+        let number = lines.iter().find_map(|line| line.split_once("request ")?.1.split_once(':'));
+        let rest =
+            number.map(|(number, _)| process.lines_with(&format!("request {number}: "))).unwrap_or_default();
+        lines.extend(rest.into_iter().skip(1));
+        lines.truncate(LINES_OF_REQUEST);
+        lines
+    }
+
+    /// Others at the same balancer that were open at the same time: they tell whether one connection or the process stood still.
+    fn calls_beside(&self, call: &Call) -> Vec<Call> {
+        let ended = |call: &Call| call.answers.first().map(|(at, _)| *at);
+        let beside = |other: &&Call| {
+            other.balancer == call.balancer
+                && other.id != call.id
+                && ended(call).is_none_or(|end| other.at <= end)
+                && ended(other).is_none_or(|end| end >= call.at)
+        };
+        self.callers.calls.look(|calls| calls.iter().filter(beside).take(BESIDE).cloned().collect())
+    }
+
+    fn record_of(&self, call: &Call) -> String {
+        let since = |at: Instant| at.saturating_duration_since(self.begun).as_secs_f64();
         let mut text = format!(
-            "{id} at n{}, {}, {:?}: begun {:.3}",
+            "{} at n{}, {}, {:?}: begun {:.3}",
+            call.id,
             call.balancer,
             call.class,
             call.deadline,
@@ -292,7 +330,7 @@
         }
         let mut tries = self.fleet.tries().all();
         tries.append(&mut self.fleet.archive().runs().all());
-        for it in tries.iter().filter(|it| it.id == id) {
+        for it in tries.iter().filter(|it| it.id == call.id) {
             let ended = it.ended.map_or_else(String::new, |(at, how)| format!(" {how:?} {:.3}", since(at)));
             text += &format!("; {} sent {:.3}{ended}", it.host, since(it.sent));
         }
