Add a failing test: a client that left before it was accepted has its request sent on

With many newcomers the listener's queue is 0.1 to 0.2 s long, so a client that is impatient has often left before its connection is accepted. strace of the release program, stopped while a client dials, asks and leaves: accept4 = 15, recvfrom(15) = 64 bytes, then the attempt is written, and only then epoll_wait reports EPOLLRDHUP for 15 and recvfrom(15) = 0. Ruled out: a late end (the client's port is in CLOSE_WAIT before the process goes on). At fault: Client::run reads a new connection in its first turn, when the runtime has not looked at the socket as yet; a read that does not fill its buffer ends in waiting for that look.

--- a/crates/spindlebeam/tests/crossings_client.rs
+++ b/crates/spindlebeam/tests/crossings_client.rs
@@ -151,6 +151,25 @@
     assert!(p.origin.heard_of_nothing_more());
 }
 
+/// A client that dials, asks and leaves while its connection waits in the listener's queue: all of that is there as it is accepted.
+#[test]
+fn nothing_is_sent_on_for_a_client_that_has_left_before_it_is_accepted() {
+    let p = Platform::start(1);
+    for many in [1, TAKEN, FLOOD] {
+        let mut stays = p.balancer.client();
+        p.balancer.stopped(|| {
+            let mut leaves = p.balancer.client();
+            leaves.flood("alta", many);
+            let port = leaves.port();
+            drop(leaves);
+            wait_until(|| in_state(p.balancer.addr, port, "08")); // CLOSE_WAIT: the end is there
+        });
+        stays.set("alta", "stays");
+        assert_eq!(p.origin.asked().words.last().unwrap(), "stays", "the first that is asked anything");
+        assert!(p.origin.heard_of_nothing_more(), "{many} commands");
+    }
+}
+
 /// More commands than are read are there as the process ends. What was read is answered, and the end behind that is in
 /// order: a reset over what was not read would take answers with it.
 #[test]
