--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
 /// Commands of one connection that may wait for their answers; beyond it nothing is read.
@@ -146,6 +147,9 @@
     /// Serves the connection until it ends. What is still unanswered then has lost its client.
     pub(crate) async fn run(mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
+        // Guards against taking a request whose client has left while its connection waited to be accepted: the runtime knows of
+        // the end once it has looked at the socket, and would read before that.
+        yield_now().await;
         let mut out = BytesMut::new();
         loop {
             self.gather(&mut out);
--- a/crates/front/src/client/closing.rs
+++ b/crates/front/src/client/closing.rs
@@ -1,13 +1,14 @@
 //! How a client's connection comes to its end: the client leaves, or it is closed so that nothing on its way is lost.
 
 use super::{Client, SlotState};
-use crate::{Front, Room};
+use crate::Room;
 use bytes::BytesMut;
 use futures_util::FutureExt;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest, Ready};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How long a client may take nothing of an answer.
@@ -112,7 +113,7 @@
 
 impl Client {
     pub(super) async fn nothing_more_came(&mut self) -> io::Result<bool> {
-        Front::yield_to_runtime().await;
+        yield_now().await; // the runtime looks at its sockets before it goes on here
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => Ok(true),
             Ok(_) => {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -21,10 +21,8 @@
 use seldom::Seldom;
 use shutdown::Shutdown;
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -176,17 +174,4 @@
             self.freed.notified().await;
         }
     }
-
-    /// Lets the runtime look at its sockets once more.
-    async fn yield_to_runtime() {
-        let mut polled = false;
-        poll_fn(|cx| {
-            if std::mem::replace(&mut polled, true) {
-                return Poll::Ready(());
-            }
-            cx.waker().wake_by_ref();
-            Poll::Pending
-        })
-        .await;
-    }
 }
