Add a failing test: each newcomer of a crowd waits a millisecond for a slot, and all behind it too

At fault: Front::admit sets a timer for what is left of the wait for a slot, and a timer of zero still takes a tick. The queue moves by one newcomer a millisecond at most. Ruled out: the sixteen places for refused connections (freed within 0.2 ms), one slow client (delays are constant).

--- a/crates/spindlebeam/tests/crowd.rs
+++ b/crates/spindlebeam/tests/crowd.rs
@@ -3,7 +3,7 @@
 mod platform;
 
 use platform::*;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Sockets of the process, and the slots that it has of them.
 const SOCKETS: u64 = 100;
@@ -46,6 +46,25 @@
     p.peers[0].asked().miss(); // it is served as any
 }
 
+/// The longer a newcomer takes to be refused, the later all behind it in the listener's queue are.
+#[test]
+fn newcomers_behind_one_that_has_waited_for_a_slot_are_refused_without_a_wait_of_their_own() {
+    const NEWCOMERS: u32 = 900;
+    /// The shortest time of a timer.
+    const TICK: Duration = Duration::from_millis(1);
+    let p = platform();
+    let _busy = take_all_slots(&p);
+    let mut crowd: Vec<Client> = (0..NEWCOMERS).map(|_| p.balancer.client()).collect();
+    crowd.iter_mut().for_each(|client| client.get("leer", "1"));
+    let mut first_refused = None;
+    for mut client in crowd {
+        assert!(client.answer().starts_with("-BUSY"));
+        first_refused.get_or_insert_with(Instant::now);
+    }
+    let took = first_refused.unwrap().elapsed();
+    assert!(took < NEWCOMERS * TICK, "{took:?} from the first to the last");
+}
+
 /// A request is taken once it is written to a connection that the machine has accepted, whether the process has or not. With the
 /// listener, what was not accepted by the process would be reset.
 #[test]
