--- a/crates/front/src/accept.rs
+++ b/crates/front/src/accept.rs
@@ -127,15 +127,24 @@
     /// Serves a newcomer as soon as there is a slot for it; refuses it where that takes too long.
     async fn admit(self: &Rc<Self>, stream: TcpStream, address: IpAddr, queue: &Queue) {
         let may_wait = queue.may_wait(Instant::now(), self.slot_wait);
-        match timeout(may_wait, self.room()).await {
-            Ok(Room::Slot) => {
+        match self.room_within(may_wait).await {
+            Room::Slot => {
                 let waited = queue.waited(Instant::now());
                 self.clone().serve(stream, address, Room::Slot, waited);
             }
-            Ok(Room::None) | Err(_) => self.refuse(stream, address).await,
+            Room::None => self.refuse(stream, address).await,
         }
     }
 
+    /// The same as [`Front::room`], for so long. A timer takes a millisecond at the least, which each newcomer of a crowd would
+    /// cost all behind it: where there is no time to wait, none is set.
+    async fn room_within(&self, may_wait: Duration) -> Room {
+        if may_wait.is_zero() {
+            return if self.decide(Places::has_room) { Room::Slot } else { Room::None };
+        }
+        timeout(may_wait, self.room()).await.unwrap_or(Room::None)
+    }
+
     /// Takes what the system has accepted for us: with the listener it would be reset, and the requests written on it lost.
     /// Those for whom there is no slot are refused. Over when nothing more comes, or all else is to be answered.
     async fn accept_rest(self: &Rc<Self>, listener: &TcpListener) {
