Count no wait for its turn against a pipelined request whose turn never came

Ruled out: a process that stood still (others at the same balancer were answered meanwhile, one of them on the same connection before the read). At fault: the test fleet's caller says when the answer ahead came; where none came, the referee took the request for the first in line. Change: Turn (First, Waits, Came) in place of an optional time; one that waits is not late, the one ahead of it is, if so. A lost request stays lost.

--- a/crates/testfleet/src/clients.rs
+++ b/crates/testfleet/src/clients.rs
@@ -71,6 +71,17 @@
     Lost(String),
 }
 
+/// The place of a request's answer on its connection: answers follow the order of the commands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Nothing was owed ahead of it.
+    First,
+    /// Written behind others, of which one has not been answered: its answer could not come.
+    Waits,
+    /// Written behind others, the last of which was answered then.
+    Came(Instant),
+}
+
 /// A request and what came of it.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -88,8 +99,8 @@
     pub deadline: Duration,
     /// Final answers: one, unless something is wrong.
     pub answers: Vec<(Instant, Final)>,
-    /// When the answer ahead of it on its connection came, where it was written before that: until then it waits in turn.
-    pub turn: Option<Instant>,
+    /// Its place among the answers of its connection.
+    pub turn: Turn,
     /// When its client left, if it did before an answer.
     pub left: Option<Instant>,
 }
@@ -215,8 +226,17 @@
         let (id, balancer, class) = (format!("{number:016x}"), question.balancer, question.class.clone());
         let idle = self.connection(balancer);
         let (at, asked, deadline, answers) = (Instant::now(), None, question.deadline, Vec::new());
-        let call =
-            Call { id: id.clone(), class, balancer, at, asked, deadline, answers, turn: None, left: None };
+        let call = Call {
+            id: id.clone(),
+            class,
+            balancer,
+            at,
+            asked,
+            deadline,
+            answers,
+            turn: Turn::First,
+            left: None,
+        };
         let place = self.calls.push(call);
         let asked = async {
             let mut reader = match idle {
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -1,6 +1,6 @@
 //! The referee: reads the records of a run and lists where a rule was broken.
 
-use crate::clients::{Call, Final};
+use crate::clients::{Call, Final, Turn};
 use crate::ground::Lag;
 use crate::hosts::{Ending, Try};
 use crate::inventory::{Phase, Told};
@@ -268,7 +268,11 @@
 fn late(evidence: &Evidence, call: &Call) -> Option<Violation> {
     let (answered, _) = call.answers.first()?;
     let mut until = call.asked? + call.deadline;
-    until = call.turn.map_or(until, |turn| until.max(turn));
+    match call.turn {
+        Turn::First => {}
+        Turn::Came(turn) => until = until.max(turn),
+        Turn::Waits => return None, // what it has waited for counts for the request ahead of it
+    }
     for stop in evidence.interruptions.iter().filter(|it| it.balancer == call.balancer) {
         if stop.from <= until + ANSWER_SLACK {
             until = until.max(stop.until.unwrap_or(*answered));
--- a/crates/testfleet/src/soak/callers.rs
+++ b/crates/testfleet/src/soak/callers.rs
@@ -1,6 +1,6 @@
 //! Callers of a soak run: each keeps its connection for as long as it stays open, and does now and then what bad clients do.
 
-use crate::clients::{Call, Final, Question, command, read};
+use crate::clients::{Call, Final, Question, Turn, command, read};
 use crate::journal::Journal;
 use std::io;
 use std::net::SocketAddr;
@@ -94,7 +94,7 @@
         let bytes = command(question, &id).to_vec();
         let (class, balancer, deadline) = (question.class.clone(), question.balancer, question.deadline);
         let (at, asked, answers) = (Instant::now(), None, Vec::new());
-        let (turn, left) = (None, None);
+        let (turn, left) = (Turn::First, None);
         (bytes, self.calls.push(Call { id, class, balancer, at, asked, deadline, answers, turn, left }))
     }
 
@@ -127,9 +127,12 @@
         for (_, place) in &begun {
             self.calls.change(*place, |call| call.asked = written.is_ok().then_some(asked));
         }
+        for (_, place) in begun.iter().skip(1) {
+            self.calls.change(*place, |call| call.turn = Turn::Waits);
+        }
         for (number, (_, place)) in begun.iter().enumerate() {
             if number > 0 {
-                self.calls.change(*place, |call| call.turn = Some(Instant::now()));
+                self.calls.change(*place, |call| call.turn = Turn::Came(Instant::now()));
             }
             let answered = match &written {
                 Ok(()) => timeout(questions[number].deadline + GRACE, read(open)).await,
