Play resets of watches and moves of discovery in soaks, and have crowds dial at a bounded rate

Need: two of the shapes that were missing: all open watches reset under changes, and SIGHUP with a new address of discovery. Change: a caller of a crowd waits 50 to 250 ms before it dials anew.

--- a/crates/testfleet/src/inventory.rs
+++ b/crates/testfleet/src/inventory.rs
@@ -115,6 +115,8 @@
     held_from: Option<usize>,
     /// Watches of a lower number say nothing any more.
     silent_below: u64,
+    /// Watches of a lower number are reset.
+    reset_below: u64,
     watches: u64,
     form: Form,
 }
@@ -145,17 +147,37 @@
     pub fn start(
         handle: &Handle, balancer: usize, members: Vec<Member>, told: Journal<Told>,
     ) -> io::Result<Self> {
-        let listener = listen(handle, any_port())?;
-        let addr = listener.local_addr()?;
         let form = Form::default();
-        let state =
-            State { first: members, changes: Vec::new(), held_from: None, silent_below: 0, watches: 0, form };
+        let state = State {
+            first: members,
+            changes: Vec::new(),
+            held_from: None,
+            silent_below: 0,
+            reset_below: 0,
+            watches: 0,
+            form,
+        };
         let (state, changed, asked) = (Mutex::new(state), watch::Sender::new(()), Journal::default());
         let list_bytes = AtomicU64::new(0);
         let shared = Arc::new(Shared { balancer, state, changed, asked, told, list_bytes });
-        handle.spawn(Arc::clone(&shared).accept(listener));
+        let addr = Self::listen_for(handle, &shared)?;
         Ok(Self { addr, shared })
     }
+
+    fn listen_for(handle: &Handle, shared: &Arc<Shared>) -> io::Result<SocketAddr> {
+        let listener = listen(handle, any_port())?;
+        let addr = listener.local_addr()?;
+        handle.spawn(Arc::clone(shared).accept(listener));
+        Ok(addr)
+    }
+
+    /// A further address at which the same agent listens: discovery can be moved there.
+    ///
+    /// # Errors
+    /// When the system gives no port.
+    pub fn further_addr(&self, handle: &Handle) -> io::Result<SocketAddr> {
+        Self::listen_for(handle, &self.shared)
+    }
     /// Where it listens.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
@@ -209,6 +231,13 @@
         self.shared.state().held_from = None;
         self.shared.changed.send_replace(());
     }
+    /// Resets the watches that are open now.
+    pub fn reset_watches(&self) {
+        let mut state = self.shared.state();
+        state.reset_below = state.watches;
+        drop(state);
+        self.shared.changed.send_replace(());
+    }
     /// The watches open now say nothing any more, and stay open; one begun later speaks.
     pub fn silence(&self) {
         let mut state = self.shared.state();
@@ -308,6 +337,9 @@
         loop {
             let (silent, news, line, open, piece) = {
                 let state = self.state();
+                if number < state.reset_below {
+                    return stream.set_zero_linger();
+                }
                 let news = state.changes[..state.open()].get(next..).unwrap_or_default().to_vec();
                 let line = state.line(&news);
                 (number < state.silent_below, news, line, state.open(), state.form.piece)
--- a/crates/testfleet/src/soak/callers.rs
+++ b/crates/testfleet/src/soak/callers.rs
@@ -15,6 +15,9 @@
 const GRACE: Duration = Duration::from_secs(4);
 /// Pauses between two requests of a caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 10..60;
+/// The same before a caller of a crowd dials anew, whose pauses are none otherwise. A port that was used is free again after a minute
+/// only: a crowd that dialled as fast as it is refused would use up all of the system's within a run or two.
+const REDIAL_MS: std::ops::Range<u64> = 50..250;
 /// Requests that a caller who pipelines writes at once.
 const PIPELINED: usize = 5;
 /// Pauses between the two pieces of a command that is written slowly.
@@ -181,8 +184,10 @@
         let mut connection = None;
         while Instant::now() < self.until {
             let pause = Duration::from_millis(rng.u64(PAUSE_MS));
-            if !busy || connection.is_none() {
-                sleep(pause).await;
+            match (busy, &connection) {
+                (true, Some(_)) => {}
+                (true, None) => sleep(Duration::from_millis(rng.u64(REDIAL_MS))).await,
+                (false, _) => sleep(pause).await,
             }
             if connection.is_none() {
                 connection = self.dial(balancer).await;
--- a/crates/testfleet/src/soak/mod.rs
+++ b/crates/testfleet/src/soak/mod.rs
@@ -183,7 +183,9 @@
                 self.fleet.kill(it)?;
                 self.restart(it)?;
             }
-            Event::HoldUp(_) | Event::Kill(_) => {}
+            Event::MoveDiscovery(it) if !self.ending[it] => self.move_discovery(it)?,
+            Event::HoldUp(_) | Event::Kill(_) | Event::MoveDiscovery(_) => {}
+            Event::ResetWatch(it) => self.fleet.balancer(it).agent.reset_watches(),
             Event::Listed(host, phase) => self.fleet.change(host, phase),
             Event::Hang(host) => self.in_trouble(host, Manner::Hangs),
             Event::Fail(host) => self.in_trouble(host, Manner::Fails),
@@ -203,6 +205,13 @@
         Ok(())
     }
 
+    fn move_discovery(&mut self, it: usize) -> io::Result<()> {
+        let addr = self.fleet.balancer(it).agent.further_addr(self.fleet.ground().handle())?;
+        let balancer = self.fleet.balancer_mut(it);
+        balancer.config["discovery"] = addr.to_string().into();
+        balancer.process.reload(&balancer.config)
+    }
+
     fn in_trouble(&mut self, host: usize, manner: Manner) {
         self.fleet.host(host).behave(manner);
         self.later(TROUBLE, Step::Serve(host));
--- a/crates/testfleet/src/soak/plan.rs
+++ b/crates/testfleet/src/soak/plan.rs
@@ -77,6 +77,10 @@
     SilentWatch(usize),
     /// Discovery learns nothing new for a while.
     HoldBack(usize),
+    /// The open watches of a balancer are reset.
+    ResetWatch(usize),
+    /// Discovery moves: SIGHUP, with a new address in the configuration.
+    MoveDiscovery(usize),
 }
 
 /// A run.
@@ -178,7 +182,7 @@
 
 fn event(rng: &mut fastrand::Rng, balancers: usize) -> Event {
     let (balancer, host) = (rng.usize(..balancers), rng.usize(..HOSTS));
-    match rng.u8(..16) {
+    match rng.u8(..18) {
         0 => Event::Signals(balancer, Series::ReloadTwice),
         1 => Event::Signals(balancer, Series::ReloadTerminate),
         2 => Event::Signals(balancer, Series::Terminate),
@@ -193,7 +197,9 @@
         12 => [Event::Fail(host), Event::Refuse(host)][rng.usize(..2)],
         13 => [Event::Forget(host), Event::Reset(balancer, host)][rng.usize(..2)],
         14 => Event::Cut(balancer, host),
-        _ => [Event::SilentWatch(balancer), Event::HoldBack(balancer)][rng.usize(..2)],
+        15 => [Event::SilentWatch(balancer), Event::HoldBack(balancer)][rng.usize(..2)],
+        16 => Event::ResetWatch(balancer),
+        _ => Event::MoveDiscovery(balancer),
     }
 }
 
