--- a/crates/testfleet/src/soak/callers.rs
+++ b/crates/testfleet/src/soak/callers.rs
@@ -17,7 +17,7 @@
 const PAUSE_MS: std::ops::Range<u64> = 10..60;
 /// The same before a caller of a crowd dials anew, whose pauses are none otherwise. A port that was used is free again after a minute
 /// only: a crowd that dialled as fast as it is refused would use up all of the system's within a run or two.
-const REDIAL_MS: std::ops::Range<u64> = 50..250;
+const REDIAL_MS: std::ops::Range<u64> = 100..500;
 /// Requests that a caller who pipelines writes at once.
 const PIPELINED: usize = 5;
 /// Pauses between the two pieces of a command that is written slowly.
@@ -210,13 +210,14 @@
     }
 
     /// A connection on which nothing is asked, dialled anew when it ends.
-    pub(super) async fn rest(self: Arc<Self>, balancer: usize) {
+    pub(super) async fn rest(self: Arc<Self>, balancer: usize, seed: u64) {
+        let mut rng = fastrand::Rng::with_seed(seed);
         while Instant::now() < self.until {
             if let Some(mut open) = self.dial(balancer).await {
                 let left = self.until.saturating_duration_since(Instant::now());
                 let _ = timeout(left, open.read(&mut [0; 64])).await;
             }
-            sleep(SLOW).await;
+            sleep(Duration::from_millis(rng.u64(REDIAL_MS))).await;
         }
     }
 }
--- a/crates/testfleet/src/soak/mod.rs
+++ b/crates/testfleet/src/soak/mod.rs
@@ -121,7 +121,9 @@
     }
     match plan.crowd {
         Crowd::None => {}
-        Crowd::Idle(many) => (0..many).for_each(|_| fleet.ground().spawn(Arc::clone(&callers).rest(0))),
+        Crowd::Idle(many) => (0..many as u64).for_each(|number| {
+            fleet.ground().spawn(Arc::clone(&callers).rest(0, plan.seed ^ number << 48));
+        }),
         Crowd::Busy(many) => (0..many as u64).for_each(|number| {
             fleet.ground().spawn(Arc::clone(&callers).ask_on(0, plan.seed ^ number << 48, true));
         }),
