--- a/crates/testfleet/src/soak/mod.rs
+++ b/crates/testfleet/src/soak/mod.rs
@@ -5,17 +5,18 @@
 
 mod callers;
 mod plan;
+mod report;
 
-use crate::clients::Call;
 use crate::config::CLASSES;
 use crate::fleet::Fleet;
 use crate::hosts::Manner;
 use crate::process::{descriptors, uses};
-use crate::referee::{Verdict, Violation};
+use crate::referee::Violation;
 use callers::{Callers, Front};
 pub use plan::{Crowd, Event, Plan, RUN, Series};
+use report::Records;
+pub use report::Report;
 use std::collections::VecDeque;
-use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::path::Path;
@@ -39,31 +40,9 @@
 const MEMORY_KB: u64 = 192 * 1024;
 /// Requests at fault whose records a report has.
 const RECORDS: usize = 8;
-/// Lines of the balancer's log about each of these.
-const LINES_OF_REQUEST: usize = 40;
-/// Requests beside each of these whose records a report has too.
-const BESIDE: usize = 24;
 /// What the callers of a run are given beyond it to have their answers.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
 
-/// What came of a run.
-#[derive(Debug)]
-pub struct Report {
-    /// What was played.
-    pub plan: Plan,
-    /// What the referee says.
-    pub verdict: Verdict,
-    /// The records of requests at fault, and the last lines of each log, where a rule was broken.
-    pub records: Vec<String>,
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.plan, self.verdict)?;
-        self.records.iter().try_for_each(|record| write!(f, "\n{record}"))
-    }
-}
-
 /// What is to be done at a time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Step {
@@ -283,80 +262,12 @@
         let kept = self.callers.kept_waiting.all().into_iter();
         verdict.violations.extend(kept.map(|(it, time)| Violation::KeptWaiting(it, time)));
         let at_fault = verdict.violations.iter().filter_map(Violation::request).take(RECORDS);
-        let mut records: Vec<String> = at_fault.map(|id| self.records_of(id)).collect();
+        let records = Records { fleet: &self.fleet, calls: &self.callers.calls, begun: self.begun };
+        let mut records_at_fault: Vec<String> = at_fault.map(|id| records.of_request(id)).collect();
         if !verdict.violations.is_empty() {
-            records.extend((0..self.plan.balancers).map(|it| self.last_lines(it)));
+            records_at_fault.extend((0..self.plan.balancers).map(|it| records.last_lines(it)));
         }
-        Report { plan: self.plan, verdict, records }
-    }
-
-    /// What callers and hosts recorded of a request, in seconds from the start of the run.
-    fn records_of(&self, id: &str) -> String {
-        let call = self.callers.calls.look(|calls| calls.iter().find(|it| it.id == id).cloned());
-        let Some(call) = call else { return format!("{id}: no record") };
-        let beside = self.calls_beside(&call).into_iter().map(|call| self.record_of(&call));
-        let record = beside.fold(self.record_of(&call), |text, call| format!("{text}\n    beside {call}"));
-        let lines = self.log_lines_of(&call).into_iter();
-        lines.fold(record, |text, line| format!("{text}\n    {line}"))
-    }
-
-    /// What its balancer logged of a request: at `debug` the line that takes it in names its client's id and the number by which
-    /// all others know it.
-    fn log_lines_of(&self, call: &Call) -> Vec<String> {
-        let process = &self.fleet.balancer(call.balancer).process;
-        let mut lines = process.lines_with(&call.id);
-        let number = lines.iter().find_map(|line| line.split_once("request ")?.1.split_once(':'));
-        let rest =
-            number.map(|(number, _)| process.lines_with(&format!("request {number}: "))).unwrap_or_default();
-        lines.extend(rest.into_iter().skip(1));
-        lines.truncate(LINES_OF_REQUEST);
-        lines
-    }
-
-    /// Others at the same balancer that were open at the same time: they tell whether one connection or the process stood still.
-    fn calls_beside(&self, call: &Call) -> Vec<Call> {
-        let ended = |call: &Call| call.answers.first().map(|(at, _)| *at);
-        let beside = |other: &&Call| {
-            other.balancer == call.balancer
-                && other.id != call.id
-                && ended(call).is_none_or(|end| other.at <= end)
-                && ended(other).is_none_or(|end| end >= call.at)
-        };
-        self.callers.calls.look(|calls| calls.iter().filter(beside).take(BESIDE).cloned().collect())
-    }
-
-    fn record_of(&self, call: &Call) -> String {
-        let since = |at: Instant| at.saturating_duration_since(self.begun).as_secs_f64();
-        let mut text = format!(
-            "{} at n{}, {}, {:?}: begun {:.3}",
-            call.id,
-            call.balancer,
-            call.class,
-            call.deadline,
-            since(call.at)
-        );
-        text += &call.asked.map_or_else(String::new, |at| format!(", written {:.3}", since(at)));
-        for (at, answer) in &call.answers {
-            text += &format!(", {answer:?} {:.3}", since(*at));
-        }
-        let mut tries = self.fleet.tries().all();
-        tries.append(&mut self.fleet.archive().runs().all());
-        for it in tries.iter().filter(|it| it.id == call.id) {
-            let ended = it.ended.map_or_else(String::new, |(at, how)| format!(" {how:?} {:.3}", since(at)));
-            text += &format!("; {} sent {:.3}{ended}", it.host, since(it.sent));
-        }
-        for it in self.fleet.interruptions.iter().filter(|it| it.balancer == call.balancer) {
-            let how = if it.killed { "killed" } else { "stopped" };
-            let until = it.until.map_or_else(String::new, |until| format!(" until {:.3}", since(until)));
-            text += &format!("; n{} {how} {:.3}{until}", call.balancer, since(it.from));
-        }
-        text
-    }
-
-    fn last_lines(&self, it: usize) -> String {
-        const LINES: usize = 12;
-        let log = self.fleet.balancer(it).process.log();
-        log.look(|lines| format!("n{it}:\n    {}", lines[lines.len().saturating_sub(LINES)..].join("\n    ")))
+        Report { plan: self.plan, verdict, records: records_at_fault }
     }
 }
 
