Rename a try of the test fleet's records to an attempt

The field's term, and the one that the program's pages use. Names, doc comments and the line of a soak; behaviour unchanged. testfleet passes. The program's own crates keep `Try` as yet.

--- a/crates/spindlebeam/benches/lists.rs
+++ b/crates/spindlebeam/benches/lists.rs
@@ -74,13 +74,13 @@
     let (after, descriptors, list_bytes) =
         (used(), descriptors(process), fleet.balancer(0).agent.list_bytes());
     let names: Vec<&str> = (0..drained).map(|number| fleet.host(number).name()).collect();
-    let late = fleet.tries().look(|all| {
+    let late = fleet.attempts().look(|all| {
         let sent = all.iter().filter(|it| names.contains(&&it.host[..]));
         let behind = sent.filter_map(|it| it.at.checked_duration_since(behind?));
         let late: Vec<Duration> = behind.filter(|it| *it > GRACE).collect();
         (late.len(), late.into_iter().max().unwrap_or_default())
     });
-    let made = fleet.tries().look(|all| {
+    let made = fleet.attempts().look(|all| {
         let connections: std::collections::HashSet<_> =
             all.iter().map(|it| (&it.host, it.connection)).collect();
         connections.len()
--- a/crates/spindlebeam/tests/fleet_agreement.rs
+++ b/crates/spindlebeam/tests/fleet_agreement.rs
@@ -274,10 +274,10 @@
     assert!(verdict.served > 300 && verdict.failed == 0, "{verdict}");
 }
 
-/// Kinds of the ledger that count tries; behind them are what was refused and changes of topology.
+/// Kinds of the ledger that count attempts; behind them are what was refused and changes of topology.
 const TRIES: usize = audit::counting::Kind::Refused as usize;
 
-/// What a balancer is known at another to have done: until when, and how many tries, with their outcome.
+/// What a balancer is known at another to have done: until when, and how many attempts, with their outcome.
 fn known(seen: &Value, number: u64) -> (u64, u64) {
     let of = |list: &str| -> Vec<Value> {
         let all = seen[list].as_array().unwrap().iter();
@@ -289,8 +289,9 @@
     (until, counts.map(|it| it.as_u64().unwrap()).sum())
 }
 fn seen_of(fleet: &Fleet, balancer: usize) -> u64 {
-    let of = |all: &[testfleet::hosts::Try]| all.iter().filter(|it| it.balancer == Some(balancer)).count();
-    (fleet.tries().look(of) + fleet.archive().runs().look(of)) as u64
+    let of =
+        |all: &[testfleet::hosts::Attempt]| all.iter().filter(|it| it.balancer == Some(balancer)).count();
+    (fleet.attempts().look(of) + fleet.archive().runs().look(of)) as u64
 }
 
 #[test]
@@ -308,8 +309,8 @@
         shows(&fleet, 0, "fleet time", |seen| seen["fleet_time_us"].is_array())["fleet_time_us"][1].clone();
     let did = seen_of(&fleet, 3);
     let seen = shows(&fleet, 0, "that its lease has ended", |seen| !names(&seen["holding"]).contains(&"n3"));
-    let (until, tries) = known(&seen, 3);
-    assert!((first..=did).contains(&tries), "seed {:#x}: {first} <= {tries} <= {did}", fleet.seed());
+    let (until, attempts) = known(&seen, 3);
+    assert!((first..=did).contains(&attempts), "seed {:#x}: {first} <= {attempts} <= {did}", fleet.seed());
     assert!(until > 0 && until <= end.as_u64().unwrap(), "seed {:#x}: {until} <= {end}", fleet.seed());
 }
 
--- a/crates/spindlebeam/tests/fleet_freeze.rs
+++ b/crates/spindlebeam/tests/fleet_freeze.rs
@@ -151,20 +151,21 @@
     }
 }
 
-/// Tries that a balancer sent to a host between two instants.
+/// Attempts that a balancer sent to a host between two instants.
 fn sent(fleet: &Fleet, balancer: usize, host: usize, from: Instant, until: Instant) -> usize {
     let name = fleet.host(host).name();
-    let so = |it: &&testfleet::hosts::Try| {
+    let so = |it: &&testfleet::hosts::Attempt| {
         it.balancer == Some(balancer) && it.host == name && (from..until).contains(&it.sent)
     };
-    fleet.tries().look(|tries| tries.iter().filter(so).count())
+    fleet.attempts().look(|attempts| attempts.iter().filter(so).count())
 }
 
-/// Waits for a try of a balancer at a host, sent after this instant.
+/// Waits for an attempt of a balancer at a host, sent after this instant.
 fn reached(fleet: &Fleet, balancer: usize, host: usize, from: Instant) {
     let name = fleet.host(host).name();
-    let so = |it: &testfleet::hosts::Try| it.balancer == Some(balancer) && it.host == name && it.sent > from;
-    fleet.tries().wait("a try at the host", |tries| tries.iter().any(so).then_some(()));
+    let so =
+        |it: &testfleet::hosts::Attempt| it.balancer == Some(balancer) && it.host == name && it.sent > from;
+    fleet.attempts().wait("an attempt at the host", |attempts| attempts.iter().any(so).then_some(()));
 }
 
 #[test]
@@ -222,8 +223,8 @@
     let calls = fleet.clients().calls().all();
     let begun: Vec<_> = calls.iter().filter(|it| it.at > binds).map(|it| it.id.as_str()).collect();
     let name = fleet.host(3).name();
-    let tries = fleet.tries().all();
-    let late = tries.iter().filter(|it| it.balancer == Some(3) && it.host == name);
+    let attempts = fleet.attempts().all();
+    let late = attempts.iter().filter(|it| it.balancer == Some(3) && it.host == name);
     let late: Vec<_> = late.filter(|it| begun.contains(&it.id.as_str())).collect();
     assert!(late.is_empty(), "seed 32: the freeze binds: {late:?}");
     assert_eq!(sent(&fleet, 3, 4, told, now), 0, "seed 32: it came behind");
--- a/crates/spindlebeam/tests/fleet_rules.rs
+++ b/crates/spindlebeam/tests/fleet_rules.rs
@@ -20,13 +20,13 @@
     Fleet::builder(env!("CARGO_BIN_EXE_spindlebeam")).folder(env!("CARGO_TARGET_TMPDIR")).seed(seed)
 }
 
-/// Tries that a balancer sent to a host between two instants.
+/// Attempts that a balancer sent to a host between two instants.
 fn sent(fleet: &Fleet, balancer: usize, host: usize, from: Instant, until: Instant) -> usize {
     let name = fleet.host(host).name();
-    let so = |it: &&testfleet::hosts::Try| {
+    let so = |it: &&testfleet::hosts::Attempt| {
         it.balancer == Some(balancer) && it.host == name && (from..until).contains(&it.sent)
     };
-    fleet.tries().look(|tries| tries.iter().filter(so).count())
+    fleet.attempts().look(|attempts| attempts.iter().filter(so).count())
 }
 
 #[test]
--- a/crates/spindlebeam/tests/large_lists.rs
+++ b/crates/spindlebeam/tests/large_lists.rs
@@ -35,7 +35,7 @@
         let names: Vec<&str> = hosts.map(|number| fleet.host(number).name()).collect();
         let behind = told + Duration::from_millis(300);
         fleet
-            .tries()
+            .attempts()
             .look(|all| all.iter().filter(|it| it.at > behind && names.contains(&&it.host[..])).count())
     };
     assert_eq!(sent_to(0..drained), 0, "sent to draining endpoints 0.3 s behind the list: {verdict}");
--- a/crates/testfleet/src/archive.rs
+++ b/crates/testfleet/src/archive.rs
@@ -1,7 +1,7 @@
 //! The archive: an origin that speaks HTTP/1.1 and books each run of each id.
 
 use crate::ground::{any_port, listen};
-use crate::hosts::{Ending, Try, class_of, time_of};
+use crate::hosts::{Attempt, Ending, class_of, time_of};
 use crate::journal::Journal;
 use crate::relay::{Caller, Callers};
 use bytes::Bytes;
@@ -48,7 +48,7 @@
     takes: watch::Sender<Duration>,
     connections: AtomicU64,
     callers: Callers,
-    runs: Journal<Try>,
+    runs: Journal<Attempt>,
 }
 
 /// Books how a run ended, also where its connection ends and nobody waits any more.
@@ -69,7 +69,7 @@
     ///
     /// # Errors
     /// When the system gives no port.
-    pub fn start(handle: &Handle, callers: Callers, runs: Journal<Try>) -> io::Result<Self> {
+    pub fn start(handle: &Handle, callers: Callers, runs: Journal<Attempt>) -> io::Result<Self> {
         let listener = listen(handle, any_port())?;
         let addr = listener.local_addr()?;
         let (temper, takes) = (watch::Sender::new(Temper::Runs), watch::Sender::new(Duration::ZERO));
@@ -92,7 +92,7 @@
     }
     /// Each run of each id.
     #[must_use]
-    pub fn runs(&self) -> &Journal<Try> {
+    pub fn runs(&self) -> &Journal<Attempt> {
         &self.shared.runs
     }
 }
@@ -138,8 +138,18 @@
         let at = Instant::now();
         let (sent, balancer) = (caller.as_ref().map_or(at, Caller::wrote), caller.map(|it| it.balancer));
         let host = NAME.to_owned();
-        let place =
-            self.runs.push(Try { host, id, key, class, time, balancer, connection, sent, at, ended: None });
+        let place = self.runs.push(Attempt {
+            host,
+            id,
+            key,
+            class,
+            time,
+            balancer,
+            connection,
+            sent,
+            at,
+            ended: None,
+        });
         let mut run = Run { shared: self, place, ending: Ending::Closed };
         let takes = *self.takes.borrow();
         if !takes.is_zero() {
--- a/crates/testfleet/src/fleet.rs
+++ b/crates/testfleet/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::config;
 use crate::folder::Folder;
 use crate::ground::Ground;
-use crate::hosts::{Host, Try};
+use crate::hosts::{Attempt, Host};
 use crate::inventory::{Agent, Phase, Told};
 use crate::journal::Journal;
 use crate::process::{Disk, Process};
@@ -47,7 +47,7 @@
     pub(crate) hosts: Vec<Host>,
     pub(crate) archive: Archive,
     pub(crate) between: UdpRelay,
-    pub(crate) tries: Journal<Try>,
+    pub(crate) attempts: Journal<Attempt>,
     pub(crate) told: Journal<Told>,
     pub(crate) interruptions: Vec<Interruption>,
     pub(crate) in_fleet: bool,
@@ -106,10 +106,10 @@
     pub fn between(&self) -> &UdpRelay {
         &self.between
     }
-    /// Tries at cache hosts so far.
+    /// Attempts at cache hosts so far.
     #[must_use]
-    pub fn tries(&self) -> &Journal<Try> {
-        &self.tries
+    pub fn attempts(&self) -> &Journal<Attempt> {
+        &self.attempts
     }
     /// What balancers were told so far.
     #[must_use]
@@ -285,11 +285,11 @@
     /// Judges what was seen so far.
     #[must_use]
     pub fn judge(&self) -> Verdict {
-        let records = [self.tries.left_out(), self.told.left_out(), self.clients.calls().left_out()];
+        let records = [self.attempts.left_out(), self.told.left_out(), self.clients.calls().left_out()];
         judge(&Evidence {
             seed: self.seed,
             calls: self.clients.calls().all(),
-            tries: self.tries.all(),
+            attempts: self.attempts.all(),
             runs: self.archive.runs().all(),
             told: self.told.all(),
             interruptions: self.interruptions.clone(),
--- a/crates/testfleet/src/hosts.rs
+++ b/crates/testfleet/src/hosts.rs
@@ -37,7 +37,7 @@
     Refuses,
 }
 
-/// How a try ended, as its host saw it.
+/// How an attempt ended, as its host saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
     /// It was answered.
@@ -46,9 +46,9 @@
     Closed,
 }
 
-/// A try of a request at a host, or a run at the archive.
+/// An attempt of a request at a host, or a run at the archive.
 #[derive(Debug, Clone)]
-pub struct Try {
+pub struct Attempt {
     /// The host's name in discovery.
     pub host: String,
     /// The request's id.
@@ -90,7 +90,7 @@
     keys: Mutex<FxHashSet<String>>,
     connections: AtomicU64,
     callers: Callers,
-    tries: Journal<Try>,
+    attempts: Journal<Attempt>,
 }
 
 /// A cache host. It holds a key after its first miss.
@@ -105,13 +105,15 @@
     ///
     /// # Errors
     /// When the system gives no port.
-    pub fn start(handle: &Handle, name: &str, callers: Callers, tries: Journal<Try>) -> io::Result<Self> {
+    pub fn start(
+        handle: &Handle, name: &str, callers: Callers, attempts: Journal<Attempt>,
+    ) -> io::Result<Self> {
         let listener = listen(handle, any_port())?;
         let addr = listener.local_addr()?;
         let (manner, takes) = (watch::Sender::new(Manner::Serves), watch::Sender::new(Duration::ZERO));
         let (keys, connections) = (Mutex::default(), AtomicU64::new(0));
         let shared =
-            Arc::new(Shared { name: name.to_owned(), manner, takes, keys, connections, callers, tries });
+            Arc::new(Shared { name: name.to_owned(), manner, takes, keys, connections, callers, attempts });
         handle.spawn(Arc::clone(&shared).accept(listener));
         Ok(Self { addr, shared })
     }
@@ -160,7 +162,7 @@
         }
     }
 
-    /// One command after the other; whatever ends the connection ends the try that is out on it.
+    /// One command after the other; whatever ends the connection ends the attempt that is out on it.
     async fn serve(self: Arc<Self>, mut stream: TcpStream, number: u64, caller: Option<Caller>) {
         let mut buffer = BytesMut::new();
         loop {
@@ -176,24 +178,24 @@
                 continue;
             };
             let key = entry.key.clone();
-            let place = self.tries.push(entry);
+            let place = self.attempts.push(entry);
             let answered = self.answer(&mut stream, &mut buffer, &key).await;
             let ending = if answered { Ending::Answered } else { Ending::Closed };
-            self.tries.change(place, |it| it.ended = Some((Instant::now(), ending)));
+            self.attempts.change(place, |it| it.ended = Some((Instant::now(), ending)));
             if !answered {
                 return;
             }
         }
     }
 
-    fn entry(&self, command: &Command, connection: u64, caller: Option<&Caller>) -> Option<Try> {
+    fn entry(&self, command: &Command, connection: u64, caller: Option<&Caller>) -> Option<Attempt> {
         let word = |at: usize| command.0.get(at).map(|word| String::from_utf8_lossy(word).into_owned());
         let (key, id, options) = (word(1)?, word(2)?, word(3)?);
         let (class, time) = (class_of(&options), time_of(&options));
         let at = Instant::now();
         let sent = caller.map_or(at, Caller::wrote);
         let (host, balancer) = (self.name.clone(), caller.map(|it| it.balancer));
-        Some(Try { host, id, key, class, time, balancer, connection, sent, at, ended: None })
+        Some(Attempt { host, id, key, class, time, balancer, connection, sent, at, ended: None })
     }
 
     /// No when the connection ended before the answer.
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{Call, Final, Turn};
 use crate::ground::Lag;
-use crate::hosts::{Ending, Try};
+use crate::hosts::{Attempt, Ending};
 use crate::inventory::{Phase, Told};
 use rustc_hash::FxHashMap;
 use std::fmt;
@@ -37,10 +37,10 @@
     pub seed: u64,
     /// Requests and their answers.
     pub calls: Vec<Call>,
-    /// Tries at cache hosts.
-    pub tries: Vec<Try>,
+    /// Attempts at cache hosts.
+    pub attempts: Vec<Attempt>,
     /// Runs at the archive.
-    pub runs: Vec<Try>,
+    pub runs: Vec<Attempt>,
     /// What balancers were told.
     pub told: Vec<Told>,
     /// When balancers could not act.
@@ -78,8 +78,8 @@
     Lost(String, String),
     /// A fragile request ran more than once: so often.
     FragileRanAgain(String, usize),
-    /// A second try went out, to the second host, while the first was out.
-    TwoTriesAtOnce(String, [String; 2]),
+    /// A second attempt went out, to the second host, while the first was out.
+    TwoAttemptsAtOnce(String, [String; 2]),
     /// A balancer sent something new to a host so long after it was told that the host drains or is gone.
     SentToLeaving {
         /// The request.
@@ -108,7 +108,7 @@
             | Self::CrossedAndSent(id)
             | Self::Lost(id, _)
             | Self::FragileRanAgain(id, _)
-            | Self::TwoTriesAtOnce(id, _)
+            | Self::TwoAttemptsAtOnce(id, _)
             | Self::SentToLeaving { id, .. } => Some(id),
             Self::KeptWaiting(..) | Self::StillRunning(_) | Self::OverLimit(..) | Self::RecordsLeftOut(_) => {
                 None
@@ -136,8 +136,8 @@
     pub not_taken: usize,
     /// Written within 0.1 s before their connection's end, and not read.
     pub crossed: usize,
-    /// Tries at cache hosts.
-    pub tries: usize,
+    /// Attempts at cache hosts.
+    pub attempts: usize,
     /// Runs at the archive.
     pub runs: usize,
     /// Broken rules.
@@ -147,12 +147,12 @@
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { seed, calls, served, refused, failed, .. } = self;
-        let Self { not_taken, crossed, lost_with_a_killed: lost, tries, runs, violations, .. } = self;
+        let Self { not_taken, crossed, lost_with_a_killed: lost, attempts, runs, violations, .. } = self;
         write!(f, "seed {seed:#x}: {calls} calls, {served} served, {refused} refused, {failed} failed, ")?;
         if not_taken + crossed > 0 {
             write!(f, "{not_taken} not taken or left, {crossed} crossed by a close, ")?;
         }
-        write!(f, "{lost} lost with a killed balancer; {tries} tries, {runs} runs; ")?;
+        write!(f, "{lost} lost with a killed balancer; {attempts} attempts, {runs} runs; ")?;
         write!(f, "{} violations{}", violations.len(), if violations.is_empty() { "" } else { ":" })?;
         violations.iter().take(20).try_for_each(|violation| write!(f, "\n  {violation:?}"))
     }
@@ -174,7 +174,7 @@
     let mut verdict = Verdict {
         seed: evidence.seed,
         calls: evidence.calls.len(),
-        tries: evidence.tries.len(),
+        attempts: evidence.attempts.len(),
         runs: evidence.runs.len(),
         ..Verdict::default()
     };
@@ -220,7 +220,7 @@
 /// Attempts for clients that had left, and for requests that were not to be taken.
 fn left_and_crossed(evidence: &Evidence, verdict: &mut Verdict) {
     let calls: FxHashMap<&str, &Call> = evidence.calls.iter().map(|it| (it.id.as_str(), it)).collect();
-    for it in evidence.tries.iter().chain(&evidence.runs) {
+    for it in evidence.attempts.iter().chain(&evidence.runs) {
         let Some(call) = calls.get(it.id.as_str()) else { continue };
         let crossed = matches!(call.answers.first(), Some((_, Final::Crossed)));
         if crossed && !killed_during(evidence, call) {
@@ -238,7 +238,7 @@
 /// What attempts say that their balancer waits.
 fn told_time(evidence: &Evidence, verdict: &mut Verdict) {
     let calls: FxHashMap<&str, &Call> = evidence.calls.iter().map(|it| (it.id.as_str(), it)).collect();
-    for it in evidence.tries.iter().chain(&evidence.runs) {
+    for it in evidence.attempts.iter().chain(&evidence.runs) {
         let call = calls.get(it.id.as_str());
         let Some((call, (asked, time))) = call.and_then(|call| Some((call, call.asked.zip(it.time)?))) else {
             continue;
@@ -309,12 +309,12 @@
 }
 
 fn one_at_once(evidence: &Evidence, verdict: &mut Verdict) {
-    let mut all: Vec<&Try> = evidence.tries.iter().chain(&evidence.runs).collect();
+    let mut all: Vec<&Attempt> = evidence.attempts.iter().chain(&evidence.runs).collect();
     all.sort_by(|a, b| (&a.id, a.at).cmp(&(&b.id, b.at)));
     for (first, second) in all.iter().zip(all.iter().skip(1)).filter(|(a, b)| a.id == b.id) {
         if first.ended.is_none_or(|(end, _)| end > second.at + MARGIN) {
             let hosts = [first.host.clone(), second.host.clone()];
-            verdict.violations.push(Violation::TwoTriesAtOnce(first.id.clone(), hosts));
+            verdict.violations.push(Violation::TwoAttemptsAtOnce(first.id.clone(), hosts));
         }
     }
 }
@@ -324,7 +324,7 @@
     for it in &evidence.told {
         told.entry((it.balancer, &it.host)).or_default().push(it);
     }
-    for it in evidence.tries.iter().chain(&evidence.runs) {
+    for it in evidence.attempts.iter().chain(&evidence.runs) {
         let Some(balancer) = it.balancer else { continue };
         let Some(told) = told.get(&(balancer, it.host.as_str())) else { continue };
         if let Some(after) = left_before(evidence, told, balancer, it.sent)
@@ -355,8 +355,8 @@
     Some(at.saturating_duration_since(since))
 }
 
-/// Whether a try was answered: for counts in reports.
+/// Whether an attempt was answered: for counts in reports.
 #[must_use]
-pub fn answered(it: &Try) -> bool {
+pub fn answered(it: &Attempt) -> bool {
     matches!(it.ended, Some((_, Ending::Answered)))
 }
--- a/crates/testfleet/src/soak/report.rs
+++ b/crates/testfleet/src/soak/report.rs
@@ -90,9 +90,9 @@
         for (at, answer) in &call.answers {
             text += &format!(", {answer:?} {:.3}", since(*at));
         }
-        let mut tries = self.fleet.tries().all();
-        tries.append(&mut self.fleet.archive().runs().all());
-        for it in tries.iter().filter(|it| it.id == call.id) {
+        let mut attempts = self.fleet.attempts().all();
+        attempts.append(&mut self.fleet.archive().runs().all());
+        for it in attempts.iter().filter(|it| it.id == call.id) {
             let ended = it.ended.map_or_else(String::new, |(at, how)| format!(" {how:?} {:.3}", since(at)));
             text += &format!("; {} sent {:.3}{ended}", it.host, since(it.sent));
         }
--- a/crates/testfleet/src/start.rs
+++ b/crates/testfleet/src/start.rs
@@ -6,7 +6,7 @@
 use crate::fleet::{Balancer, Fleet};
 use crate::folder::Folder;
 use crate::ground::{Ground, any_port};
-use crate::hosts::{Host, Try};
+use crate::hosts::{Attempt, Host};
 use crate::inventory::{Agent, Member, Phase, Told};
 use crate::journal::Journal;
 use crate::process::{Launch, Process};
@@ -138,9 +138,9 @@
         let folder = Folder::below(&self.folder)?;
         let ground = Ground::start()?;
         let handle = ground.handle();
-        let (tries, told, callers) =
-            (Journal::<Try>::default(), Journal::<Told>::default(), Callers::default());
-        let host = |number| Host::start(handle, &format!("s-{number}"), callers.clone(), tries.clone());
+        let (attempts, told, callers) =
+            (Journal::<Attempt>::default(), Journal::<Told>::default(), Callers::default());
+        let host = |number| Host::start(handle, &format!("s-{number}"), callers.clone(), attempts.clone());
         let hosts: Vec<Host> = (0..self.hosts).map(host).collect::<io::Result<_>>()?;
         let archive = Archive::start(handle, callers.clone(), Journal::default())?;
         let between = UdpRelay::start(handle, self.balancers, self.seed)?;
@@ -158,7 +158,7 @@
             hosts,
             archive,
             between,
-            tries,
+            attempts,
             told,
             interruptions: Vec::new(),
             in_fleet: self.with_fleet,
--- a/crates/testfleet/tests/referee.rs
+++ b/crates/testfleet/tests/referee.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 use testfleet::clients::{Call, Final, Turn};
 use testfleet::ground::Lag;
-use testfleet::hosts::{Ending, Try};
+use testfleet::hosts::{Attempt, Ending};
 use testfleet::inventory::{Phase, Told};
 use testfleet::referee::{Evidence, Interruption, Violation, judge};
 
@@ -21,10 +21,10 @@
     Call { id, class, balancer: 1, at, asked, deadline, answers, turn: Turn::First, left: None }
 }
 
-fn attempt(id: &str, host: &str, at: Instant, took: Option<u64>) -> Try {
+fn attempt(id: &str, host: &str, at: Instant, took: Option<u64>) -> Attempt {
     let ended = took.map(|took| (at + ms(took), Ending::Answered));
     let (key, class) = ("7f".into(), "once".into());
-    Try {
+    Attempt {
         host: host.into(),
         id: id.into(),
         key,
@@ -80,7 +80,7 @@
 fn a_fragile_request_that_runs_again_is_found_and_others_may() {
     let at = Instant::now();
     let again = |class: &str| {
-        let run = |at| Try { class: class.into(), ..attempt("x", "origin", at, Some(1)) };
+        let run = |at| Attempt { class: class.into(), ..attempt("x", "origin", at, Some(1)) };
         Evidence { runs: vec![run(at), run(at + ms(500))], ..Evidence::default() }
     };
     assert_eq!(violations(&again("once")), [Violation::FragileRanAgain("x".into(), 2)]);
@@ -88,26 +88,26 @@
 }
 
 #[test]
-fn two_tries_out_at_once_are_found_at_hosts_and_archive_alike() {
+fn two_attempts_out_at_once_are_found_at_hosts_and_archive_alike() {
     let at = Instant::now();
     let pair = |took| Evidence {
-        tries: vec![attempt("x", "s-1", at, took)],
+        attempts: vec![attempt("x", "s-1", at, took)],
         runs: vec![attempt("x", "origin", at + ms(200), Some(1))],
         ..Evidence::default()
     };
     let hosts = ["s-1".to_owned(), "origin".to_owned()];
-    let found = [Violation::TwoTriesAtOnce("x".into(), hosts)];
+    let found = [Violation::TwoAttemptsAtOnce("x".into(), hosts)];
     assert_eq!(violations(&pair(None)), found);
     assert_eq!(violations(&pair(Some(260))), found);
     assert!(violations(&pair(Some(230))).is_empty(), "within what records are off by");
 }
 
 #[test]
-fn a_try_at_a_leaving_host_counts_from_when_that_process_could_know() {
+fn an_attempt_at_a_leaving_host_counts_from_when_that_process_could_know() {
     let at = Instant::now();
     let sent = |after| vec![attempt("x", "s-0", at + ms(after), Some(1))];
     let mut evidence =
-        Evidence { told: vec![told(at, Phase::Draining)], tries: sent(301), ..Evidence::default() };
+        Evidence { told: vec![told(at, Phase::Draining)], attempts: sent(301), ..Evidence::default() };
     let found = |after| {
         let (id, host) = ("x".into(), "s-0".into());
         [Violation::SentToLeaving { id, balancer: 1, host, after: ms(after) }]
@@ -119,13 +119,13 @@
     assert!(violations(&evidence).is_empty(), "ready again");
     evidence.told.truncate(1);
     evidence.interruptions = vec![interruption(false, at + ms(100), Some(at + ms(900)))];
-    evidence.tries = sent(1_100);
+    evidence.attempts = sent(1_100);
     assert!(violations(&evidence).is_empty(), "it read that only once it went on");
-    evidence.tries = sent(1_300);
+    evidence.attempts = sent(1_300);
     assert_eq!(violations(&evidence), found(400));
     evidence.interruptions = vec![interruption(true, at + ms(100), Some(at + ms(900)))];
     assert!(violations(&evidence).is_empty(), "another process, which was told nothing");
-    evidence.tries = sent(299);
+    evidence.attempts = sent(299);
     evidence.interruptions.clear();
     assert!(violations(&evidence).is_empty());
 }
@@ -155,12 +155,12 @@
 fn what_was_written_as_a_process_was_killed_counts_for_no_later_one() {
     let at = Instant::now();
     let killed = Interruption { restarted: Some(at + ms(50)), ..interruption(true, at, Some(at + ms(200))) };
-    let tries = vec![attempt("7f", "s-0", at + ms(1_020), Some(5))];
+    let attempts = vec![attempt("7f", "s-0", at + ms(1_020), Some(5))];
     let told_at = |after| told(at + ms(after), Phase::Draining);
     let judged = |told| {
         violations(&Evidence {
             interruptions: vec![killed],
-            tries: tries.clone(),
+            attempts: attempts.clone(),
             told,
             ..Evidence::default()
         })
@@ -175,7 +175,7 @@
     let left = Call { left: Some(at + ms(10)), ..call("left", at, &[(10, Final::Left)]) };
     let evidence = |after| Evidence {
         calls: vec![left.clone()],
-        tries: vec![attempt("left", "s-1", at + ms(after), Some(1))],
+        attempts: vec![attempt("left", "s-1", at + ms(after), Some(1))],
         ..Evidence::default()
     };
     assert_eq!(violations(&evidence(160)), []);
@@ -184,7 +184,7 @@
     assert_eq!(violations(&Evidence { interruptions: held_up, ..evidence(190) }), []);
     let crossed = Evidence {
         calls: vec![call("x", at, &[(10, Final::Crossed)])],
-        tries: vec![attempt("x", "s-1", at, Some(1))],
+        attempts: vec![attempt("x", "s-1", at, Some(1))],
         ..Evidence::default()
     };
     assert_eq!(violations(&crossed), [Violation::CrossedAndSent("x".into())]);
@@ -195,7 +195,7 @@
     let at = Instant::now();
     let told = |time| Evidence {
         calls: vec![call("x", at, &[(10, Final::Served)])],
-        tries: vec![Try { time: Some(ms(time)), ..attempt("x", "s-1", at + ms(400), Some(1)) }],
+        attempts: vec![Attempt { time: Some(ms(time)), ..attempt("x", "s-1", at + ms(400), Some(1)) }],
         ..Evidence::default()
     };
     assert_eq!(violations(&told(800)), []);
--- a/crates/testfleet/tests/stand_ins.rs
+++ b/crates/testfleet/tests/stand_ins.rs
@@ -32,8 +32,8 @@
 
 #[test]
 fn a_host_misses_then_holds_turns_away_fails_hangs_and_refuses_and_records_each_try() {
-    let (ground, tries) = (Ground::start().unwrap(), Journal::default());
-    let host = Host::start(ground.handle(), "s-0", Callers::default(), tries.clone()).unwrap();
+    let (ground, attempts) = (Ground::start().unwrap(), Journal::default());
+    let host = Host::start(ground.handle(), "s-0", Callers::default(), attempts.clone()).unwrap();
     let mut client = connect(host.addr());
     let mut lines = |id: &str, n: usize| {
         get(&mut client, id);
@@ -54,13 +54,13 @@
     assert!(asked.elapsed() >= Duration::from_millis(30));
     host.behave(Manner::Hangs);
     get(&mut client, "g");
-    tries.wait("the try", |tries| (tries.len() == 7).then_some(()));
+    attempts.wait("the attempt", |attempts| (attempts.len() == 7).then_some(()));
     drop(client);
-    let ended = tries.wait("its end", |tries| tries[6].ended).1;
+    let ended = attempts.wait("its end", |attempts| attempts[6].ended).1;
     assert_eq!(ended, Ending::Closed);
     host.behave(Manner::Refuses);
     assert!(!connect(host.addr()).read(&mut [0]).is_ok_and(|n| n > 0));
-    let all = tries.all();
+    let all = attempts.all();
     assert_eq!(all.iter().map(|it| &it.id[..]).collect::<String>(), "abcdefg");
     assert!(all[..6].iter().all(|it| it.ended.is_some_and(|it| it.1 == Ending::Answered)));
     assert!(all.iter().all(|it| it.class == "read" && it.key == "7f" && it.balancer.is_none()));
