Judge by the referee whether a close crossed a request, less what the stand-ins stood still

At fault: the soak's caller compared with 0.1 s by itself, where every other rule takes off what the stand-ins stood still. The referee judges it now, by the same 0.1 s. A report says when they stood still, and benches/lists.rs prints which rules broke. Seen to fail: the new test without the subtraction. testfleet passes.

--- a/crates/spindlebeam/benches/lists.rs
+++ b/crates/spindlebeam/benches/lists.rs
@@ -102,6 +102,9 @@
         verdict.served,
         verdict.violations.len(),
     );
+    if !verdict.violations.is_empty() {
+        println!("  {verdict}");
+    }
     Ok(())
 }
 
--- a/crates/testfleet/src/clients.rs
+++ b/crates/testfleet/src/clients.rs
@@ -57,8 +57,8 @@
     Served,
     /// To come again later.
     Refused,
-    /// Its connection closed as it was written: to be asked again.
-    Crossed,
+    /// Its connection was closed without an answer, and how: to be asked again, where the close has crossed it.
+    Closed(String),
     /// It was never written whole.
     NotTaken,
     /// Its client left.
--- a/crates/testfleet/src/referee.rs
+++ b/crates/testfleet/src/referee.rs
@@ -12,6 +12,8 @@
 pub const TOLD_WITHIN: Duration = Duration::from_millis(250);
 /// An answer may come so long after a request's time.
 pub const ANSWER_SLACK: Duration = Duration::from_millis(50);
+/// A close that a request crosses is seen so soon after the request's last byte was written.
+pub const CROSSING: Duration = Duration::from_millis(100);
 /// What the records of two processes on one busy machine may be off by.
 pub const MARGIN: Duration = Duration::from_millis(50);
 
@@ -199,12 +201,14 @@
                 Final::Refused | Final::NotReady => verdict.refused += 1,
                 Final::Failed(_) => verdict.failed += 1,
                 Final::NotTaken | Final::Left => verdict.not_taken += 1,
-                Final::Crossed if killed_during(evidence, call) => verdict.lost_with_a_killed += 1,
-                Final::Crossed => verdict.crossed += 1,
-                Final::Lost(_) if was_killed(evidence, call.balancer, call.at, *at) => {
+                Final::Closed(_) if killed_during(evidence, call) => verdict.lost_with_a_killed += 1,
+                Final::Closed(_) if crossed(evidence, call) => verdict.crossed += 1,
+                Final::Lost(_) | Final::Closed(_) if was_killed(evidence, call.balancer, call.at, *at) => {
                     verdict.lost_with_a_killed += 1;
                 }
-                Final::Lost(how) => verdict.violations.push(Violation::Lost(call.id.clone(), how.clone())),
+                Final::Lost(how) | Final::Closed(how) => {
+                    verdict.violations.push(Violation::Lost(call.id.clone(), how.clone()))
+                }
             },
             _ => verdict.violations.push(Violation::AnsweredTwice(call.id.clone())),
         }
@@ -222,8 +226,7 @@
     let calls: FxHashMap<&str, &Call> = evidence.calls.iter().map(|it| (it.id.as_str(), it)).collect();
     for it in evidence.attempts.iter().chain(&evidence.runs) {
         let Some(call) = calls.get(it.id.as_str()) else { continue };
-        let crossed = matches!(call.answers.first(), Some((_, Final::Crossed)));
-        if crossed && !killed_during(evidence, call) {
+        if crossed(evidence, call) && !killed_during(evidence, call) {
             verdict.violations.push(Violation::CrossedAndSent(it.id.clone()));
         }
         let Some(left) = call.left else { continue };
@@ -288,6 +291,15 @@
     dead.into_iter().any(|it| it.from <= until && it.until.is_none_or(|end| from <= end))
 }
 
+/// Whether its connection was closed before its last byte was written, or so soon after it that the close has crossed it: time in which
+/// the stand-ins stood still, and could not see the close, does not count.
+fn crossed(evidence: &Evidence, call: &Call) -> bool {
+    let Some((closed, Final::Closed(_))) = call.answers.first() else { return false };
+    let Some(asked) = call.asked else { return true };
+    let seen_after = closed.saturating_duration_since(asked);
+    seen_after.saturating_sub(lagged(evidence, asked, *closed)) < CROSSING
+}
+
 /// Whether the balancer was killed between the request's beginning and its end: the system then closed the connection, at any
 /// point of the request's life.
 fn killed_during(evidence: &Evidence, call: &Call) -> bool {
--- a/crates/testfleet/src/soak/callers.rs
+++ b/crates/testfleet/src/soak/callers.rs
@@ -24,8 +24,6 @@
 const SLOW: Duration = Duration::from_millis(30);
 /// How long a client that stops half way may be kept waiting for its error or the end of its connection.
 const HALF_WAY: Duration = Duration::from_millis(3_000);
-/// A close that a request crosses comes so soon after its last byte was written.
-const CROSSING: Duration = Duration::from_millis(100);
 
 /// What a caller does with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,14 +103,6 @@
         self.calls.change(place, |call| call.answers.push((Instant::now(), answer)));
     }
 
-    /// How a request ended whose connection brought no answer.
-    fn unanswered(&self, place: usize, error: &io::Error) {
-        let written = self.calls.look(|calls| calls[place].asked);
-        let crossed = written.is_none_or(|at| at.elapsed() < CROSSING);
-        let how = if crossed { Final::Crossed } else { Final::Lost(error.to_string()) };
-        self.ended(place, how);
-    }
-
     /// Writes these requests and reads their answers; whether the connection goes on.
     async fn ask(&self, open: &mut BufReader<TcpStream>, questions: &[Question], slowly: bool) -> bool {
         let begun: Vec<_> = questions.iter().map(|question| self.begin(question)).collect();
@@ -146,7 +136,8 @@
                 Ok(answer) => self.ended(*place, answer),
                 Err(error) => {
                     // Behind the first that has no answer, none of them has one.
-                    begun[number..].iter().for_each(|(_, place)| self.unanswered(*place, &error));
+                    let closed = || Final::Closed(error.to_string());
+                    begun[number..].iter().for_each(|(_, place)| self.ended(*place, closed()));
                     return false;
                 }
             }
--- a/crates/testfleet/src/soak/report.rs
+++ b/crates/testfleet/src/soak/report.rs
@@ -101,6 +101,12 @@
             let until = it.until.map_or_else(String::new, |until| format!(" until {:.3}", since(until)));
             text += &format!("; n{} {how} {:.3}{until}", call.balancer, since(it.from));
         }
+        let ended = call.answers.first().map_or_else(Instant::now, |(at, _)| *at);
+        for lag in
+            self.fleet.ground().lags().all().iter().filter(|it| it.until >= call.at && it.from <= ended)
+        {
+            text += &format!("; stand-ins stood still {:.3} to {:.3}", since(lag.from), since(lag.until));
+        }
         text
     }
 
--- a/crates/testfleet/tests/referee.rs
+++ b/crates/testfleet/tests/referee.rs
@@ -38,6 +38,10 @@
     }
 }
 
+fn closed() -> Final {
+    Final::Closed("end".into())
+}
+
 fn told(at: Instant, phase: Phase) -> Told {
     Told { balancer: 1, host: "s-0".into(), phase, at }
 }
@@ -183,7 +187,7 @@
     let held_up = vec![interruption(false, at, Some(at + ms(150)))];
     assert_eq!(violations(&Evidence { interruptions: held_up, ..evidence(190) }), []);
     let crossed = Evidence {
-        calls: vec![call("x", at, &[(10, Final::Crossed)])],
+        calls: vec![call("x", at, &[(10, closed())])],
         attempts: vec![attempt("x", "s-1", at, Some(1))],
         ..Evidence::default()
     };
@@ -226,11 +230,23 @@
     assert_eq!(judged(Turn::Waits), [], "the one ahead of it is late");
 }
 
+#[test]
+fn a_close_is_no_crossing_long_after_the_write_unless_the_stand_ins_stood_still_meanwhile() {
+    let at = Instant::now();
+    let mut evidence = Evidence { calls: vec![call("x", at, &[(138, closed())])], ..Evidence::default() };
+    assert_eq!(violations(&evidence), [Violation::Lost("x".into(), "end".into())]);
+    evidence.lags = vec![Lag { from: at + ms(10), until: at + ms(60) }];
+    assert_eq!(judge(&evidence).crossed, 1);
+    assert_eq!(violations(&evidence), []);
+    evidence.lags = vec![Lag { from: at + ms(10), until: at + ms(40) }];
+    assert_eq!(violations(&evidence), [Violation::Lost("x".into(), "end".into())], "0.11 s are left");
+}
+
 #[test]
 fn a_request_that_ends_with_a_killed_process_is_lost_with_it_and_was_not_crossed_by_a_close() {
     let at = Instant::now();
     let mut evidence = Evidence {
-        calls: vec![call("x", at, &[(7, Final::Crossed)])],
+        calls: vec![call("x", at, &[(7, closed())])],
         runs: vec![attempt("x", "origin", at + ms(6), Some(1))],
         ..Evidence::default()
     };
