--- a/crates/spindlebeam/tests/crossings_client.rs
+++ b/crates/spindlebeam/tests/crossings_client.rs
@@ -131,6 +131,15 @@
     assert!(p.balancer.exit().success());
 }
 
+/// Has a client send that many commands and leave; returns once the system of a stopped balancer knows of the end.
+fn floods_and_leaves(p: &Platform, mut client: Client, many: usize) {
+    const CLOSE_WAIT: &str = "08";
+    client.flood("alta", many);
+    let port = client.port();
+    drop(client);
+    wait_until(|| in_state(p.balancer.addr, port, CLOSE_WAIT));
+}
+
 /// Commands and their client's end are there before the process takes its next step.
 #[rstest]
 fn nothing_is_sent_on_of_what_comes_in_one_piece_with_its_clients_end(
@@ -140,12 +149,7 @@
     let (mut leaves, mut stays) = (p.balancer.client(), p.balancer.client());
     leaves.send(&["PING"]);
     assert_eq!(leaves.answer(), "+PONG");
-    p.balancer.stopped(|| {
-        leaves.flood("alta", many);
-        let port = leaves.port();
-        drop(leaves);
-        wait_until(|| in_state(p.balancer.addr, port, "08")); // CLOSE_WAIT: the end is there
-    });
+    p.balancer.stopped(|| floods_and_leaves(&p, leaves, many));
     stays.set("alta", "stays");
     assert_eq!(p.origin.asked().words.last().unwrap(), "stays", "the first that is asked anything");
     assert!(p.origin.heard_of_nothing_more());
@@ -157,13 +161,7 @@
     let p = Platform::start(1);
     for many in [1, TAKEN, FLOOD] {
         let mut stays = p.balancer.client();
-        p.balancer.stopped(|| {
-            let mut leaves = p.balancer.client();
-            leaves.flood("alta", many);
-            let port = leaves.port();
-            drop(leaves);
-            wait_until(|| in_state(p.balancer.addr, port, "08")); // CLOSE_WAIT: the end is there
-        });
+        p.balancer.stopped(|| floods_and_leaves(&p, p.balancer.client(), many));
         stays.set("alta", "stays");
         assert_eq!(p.origin.asked().words.last().unwrap(), "stays", "the first that is asked anything");
         assert!(p.origin.heard_of_nothing_more(), "{many} commands");
