--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -304,10 +304,20 @@
     Ok(address)
 }
 
+/// Reads once. A read that a signal has interrupted is repeated.
+fn read_uninterrupted(stream: &mut TcpStream, piece: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.read(piece) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            read => return read,
+        }
+    }
+}
+
 /// Reads more bytes into the buffer. Fails at the end of the connection.
 fn read_more(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<()> {
     let mut piece = [0; 16 * 1024];
-    let count = stream.read(&mut piece)?;
+    let count = read_uninterrupted(stream, &mut piece)?;
     if count == 0 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
@@ -518,7 +528,7 @@
     });
     let mut buffer = vec![0; 64 * 1024];
     loop {
-        let count = from.read(&mut buffer).unwrap_or(0);
+        let count = read_uninterrupted(&mut from, &mut buffer).unwrap_or(0);
         // An empty piece marks the end of the connection.
         if sender.send((Instant::now() + delay, buffer[..count].to_vec())).is_err() || count == 0 {
             break;
