--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -10,9 +10,14 @@
     exit 2
 fi
 if [ ! -x "$program" ] && ! bash review/build.sh; then exit 2; fi
-# The program ends by itself within 100 s, with all that it started; the limit here is for a program that hangs.
-timeout --kill-after=5 110 "$program" "$folder"
+# The program ends by itself within 100 s, with all that it started. The limit here is for a program that hangs; what
+# one that crashes leaves behind is in the process group of `timeout`.
+timeout --kill-after=5 110 "$program" "$folder" &
+group=$!
+trap 'kill -TERM -- "-$group"' INT TERM
+wait "$group"
 status=$?
+kill -KILL -- "-$group" 2> /dev/null
 case $status in
     0 | 1) exit "$status" ;;
     *) exit 2 ;;
