Serve a large value as whole only when the rest of its reply fits the stated length

Cause: Client::stream_value wrote the client's line end as soon as the stated bytes were passed on. What follows the value at the cache node was read afterwards, and decided only whether its connection is used again.

Change: StreamedValue::finish reads the line end of the value and the parts after it with the parser of small replies; the client's line end is written behind it. Other bytes, a break or no line end in time end the client's connection without it. The end of a value with a late rest is passed on after 1.5 s, as a value that is held back for 2 s counts as lost.

--- a/crates/front/src/client/serve.rs
+++ b/crates/front/src/client/serve.rs
@@ -240,14 +240,14 @@
         }
     }
 
-    /// Forwards a large value as it arrives. If the value ends early, the connection ends; the client detects this by
-    /// the length in the header.
+    /// Forwards a large value as it arrives. The line end is written only when the value is known to be complete. If it
+    /// is not, the connection ends; the client detects this by the length in the header and the missing line end.
     async fn stream_value(&mut self) -> io::Result<()> {
         let Some(Reply::Streamed(mut streamed)) = self.replies.pop_front() else { return Ok(()) };
         let mut header = BytesMut::with_capacity(BULK_HEADER_CAPACITY);
         resp::encode_bulk_header(&mut header, streamed.length());
         write_all(&self.stream, &header).await?;
-        while !streamed.is_finished() {
+        while !streamed.is_consumed() {
             let bytes = tokio::select! {
                 bytes = streamed.next_chunk() => bytes?,
                 () = wait_for_client_close(&self.stream) => return Err(io::ErrorKind::ConnectionAborted.into()),
@@ -256,6 +256,11 @@
             write_all(&self.stream, bytes).await?;
             streamed.consume(written);
         }
+        tokio::select! {
+            biased;
+            finished = streamed.finish() => finished?,
+            () = wait_for_client_close(&self.stream) => return Err(io::ErrorKind::ConnectionAborted.into()),
+        }
         write_all(&self.stream, b"\r\n").await
     }
 }
--- a/crates/proto/src/resp.rs
+++ b/crates/proto/src/resp.rs
@@ -50,16 +50,17 @@
     Busy,
     /// The request failed and may have run. Contains the error text of the endpoint.
     Failed(Bytes),
-    /// The start of a reply with a large value. The value follows on the connection, and then the [`ReplyTail`].
+    /// The start of a reply with a large value. The value and its line end follow on the connection, and then the
+    /// [`ReplyTail`].
     Large {
         /// The length of the value.
         length: usize,
-        /// The part of the reply that follows the value.
+        /// The part of the reply that follows the line end of the value.
         tail: ReplyTail,
     },
 }
 
-/// The part of a reply that follows a large value: the line end of the value, and this many parts.
+/// The part of a reply that follows a large value and its line end: this many parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReplyTail(usize);
 
@@ -130,12 +131,9 @@
     Ok((parts as usize, length.parse_next(input)?))
 }
 
-/// Parses the line end of a large value, and the parts after it.
+/// Parses the parts of a reply that follow a large value.
 fn reply_tail(parts: usize) -> impl FnMut(&mut Input<'_>) -> Parsed<()> {
-    move |input| {
-        crlf.void().parse_next(input)?;
-        repeat::<_, _, (), _, _>(parts, part.void()).parse_next(input)
-    }
+    move |input| repeat::<_, _, (), _, _>(parts, part.void()).parse_next(input)
 }
 
 /// Parses all words of a command but the last, and the length of the last word, which may not have arrived.
@@ -255,7 +253,20 @@
     })
 }
 
-/// Removes the part of a reply that follows a large value from the buffer; `None` while it is incomplete.
+/// Removes the line end of a large value from the buffer; `None` while it is incomplete.
+///
+/// # Errors
+/// When the bytes are not a line end: the stated length of the value is wrong.
+pub fn decode_value_end(buffer: &mut BytesMut) -> Result<Option<()>, ProtoError> {
+    let Some((_, end)) = parse(buffer, MAX_MESSAGE_BYTES, "answer", |input| crlf.parse_next(input))? else {
+        return Ok(None);
+    };
+    buffer.advance(end);
+    Ok(Some(()))
+}
+
+/// Removes the part of a reply that follows a large value and its line end from the buffer; `None` while it is
+/// incomplete.
 ///
 /// # Errors
 /// When the bytes are not such a part; the connection cannot be used any more.
--- a/crates/proto/tests/parsers.rs
+++ b/crates/proto/tests/parsers.rs
@@ -82,8 +82,8 @@
         let mut bytes = BytesMut::from("*3\r\n");
         resp::encode_bulk(&mut bytes, &value);
         bytes.extend_from_slice(b"$3\r\nhit\r\n$-1\r\n-BUSY\r\n");
-        // Reads like a connection: the value as it arrives, then its tail, then the next reply.
-        let (mut remaining, mut tail_due) = (0, None);
+        // Reads like a connection: the value as it arrives, then its line end and its tail, then the next reply.
+        let (mut remaining, mut value_end_due, mut tail_due) = (0, false, None);
         let found: Result<_, ProtoError> = feed(&bytes, &splits, |buffer| {
             let received = remaining.min(buffer.len());
             bytes::Buf::advance(buffer, received);
@@ -91,6 +91,12 @@
             if remaining > 0 {
                 return Ok(None);
             }
+            if value_end_due {
+                return Ok(resp::decode_value_end(buffer)?.map(|()| {
+                    value_end_due = false;
+                    "line end"
+                }));
+            }
             if let Some(tail) = tail_due {
                 return Ok(resp::decode_reply_tail(buffer, tail)?.map(|()| {
                     tail_due = None;
@@ -99,14 +105,14 @@
             }
             Ok(match resp::decode_reply(buffer)? {
                 Some(Reply::Large { length, tail }) => {
-                    (remaining, tail_due) = (length, Some(tail));
+                    (remaining, value_end_due, tail_due) = (length, true, Some(tail));
                     Some("large")
                 }
                 Some(Reply::Busy) => Some("busy"),
                 other => other.map(|_| "other"),
             })
         });
-        prop_assert_eq!(found.unwrap(), ["large", "tail", "busy"]);
+        prop_assert_eq!(found.unwrap(), ["large", "line end", "tail", "busy"]);
 
         let mut bytes = BytesMut::new();
         resp::encode_command(&mut bytes, &[b"CACHE.SET", &value]);
--- a/crates/spindlebeam/tests/values.rs
+++ b/crates/spindlebeam/tests/values.rs
@@ -93,6 +93,25 @@
     assert!(platform.peers.iter().all(Peer::has_no_more_requests));
 }
 
+/// Guards against a large value that is served as a whole bulk string though its stated length was too short: the line
+/// end was written before the bytes that follow the value at the cache node were checked.
+#[test]
+fn large_answer_with_too_short_length_ends_without_line_end() {
+    let platform = Platform::start(1);
+    let (value, mut client) = (generate_value(200_000), platform.balancer.client());
+    client.get("leer", "1");
+    let answer = encode_array(&value).replacen("$200000", "$199000", 1);
+    platform.peers[0].next_request().respond(&answer);
+    assert_eq!(client.read_line(), "$199000");
+    let mut received = Vec::new();
+    let _ = client.reader().read_to_end(&mut received); // closed or reset
+    assert!(received.len() <= 199_000, "the value looks complete: {} bytes", received.len());
+    let mut other = platform.balancer.client();
+    other.get("leer", "2");
+    platform.peers[0].next_request().respond(&encode_array(&value));
+    assert!(other.read_answer() == value, "the next value is served whole, on another connection");
+}
+
 #[test]
 fn attempt_is_cancelled_when_client_leaves_during_answer() {
     let platform = Platform::start(1);
--- a/crates/upstream/src/connection/attempt.rs
+++ b/crates/upstream/src/connection/attempt.rs
@@ -5,12 +5,12 @@
 use super::log_throttles::AttemptLogThrottles;
 use super::pools::ConnectionSource;
 use super::request::EncodedRequest;
-use super::resp_response::{read_resp, read_tail};
+use super::resp_response::read_resp;
 use super::response::{LargeResponse, Response, ResponseError};
 use super::result::AttemptResult;
 use super::send::{LastByte, SendError, SendPermit, send_request};
 use super::socket::Connection;
-use super::streamed::StreamedValue;
+use super::streamed::{StreamEnd, StreamedValue};
 use crate::call::Call;
 use crate::endpoints::Endpoint;
 use crate::memory::MemoryBudget;
@@ -114,7 +114,7 @@
             Ok(Response::Complete { result, reusable }) => {
                 AttemptResult { connection: reusable.then_some(connection), ..result }
             }
-            Ok(Response::Large(head)) => stream_value(connection, head, stage, on_streaming).await,
+            Ok(Response::Large(head)) => self.stream_value(connection, &head, stage, on_streaming).await,
             Err(ResponseError::Reset) => {
                 let stale = is_reused && connection.buffer.is_empty();
                 AttemptResult { stale, ..Outcome::Reset.into() }
@@ -164,6 +164,27 @@
         }
     }
 
+    /// Passes a large value to `on_streaming`, and waits until the response has been read.
+    async fn stream_value(
+        &self, connection: Connection, head: &LargeResponse, stage: &Cell<Stage>,
+        on_streaming: impl FnOnce(Box<StreamedValue>),
+    ) -> AttemptResult {
+        let (value, ended) = StreamedValue::from_connection(head, connection);
+        stage.set(Stage::Streaming);
+        on_streaming(Box::new(value));
+        match ended.await {
+            Ok(StreamEnd::Complete(connection)) => {
+                AttemptResult { connection: connection.filter(|_| head.reusable), ..Outcome::Ok.into() }
+            }
+            Ok(StreamEnd::Malformed(error)) => {
+                self.log_response_error(&error.into());
+                Outcome::Error.into()
+            }
+            // The connection broke before the end of the response, or the client left.
+            Err(_) => Outcome::Reset.into(),
+        }
+    }
+
     fn log_response_error(&self, error: &ResponseError) {
         let name = &self.endpoint.name;
         match error {
@@ -192,20 +213,6 @@
     }
 }
 
-/// Passes a large value to `on_streaming`, and waits until the value has been read.
-async fn stream_value(
-    connection: Connection, head: LargeResponse, stage: &Cell<Stage>,
-    on_streaming: impl FnOnce(Box<StreamedValue>),
-) -> AttemptResult {
-    let (value, connection) = StreamedValue::from_connection(head.length, connection);
-    stage.set(Stage::Streaming);
-    on_streaming(Box::new(value));
-    // The connection is not returned if it broke before the end of the value, or if the client left.
-    let Ok(connection) = connection.await else { return Outcome::Reset.into() };
-    let connection = if head.reusable { read_tail(connection, head.tail).await } else { None };
-    AttemptResult { connection, ..Outcome::Ok.into() }
-}
-
 /// Waits for the end of the deduplication window. Waits forever if there is no window, or if the request is written
 /// before its end.
 async fn wait_for_window_end(window_ends: Option<Instant>, stage: &Cell<Stage>) {
--- a/crates/upstream/src/connection/resp_response.rs
+++ b/crates/upstream/src/connection/resp_response.rs
@@ -5,13 +5,8 @@
 use super::result::AttemptResult;
 use super::socket::Connection;
 use decide::api::Outcome;
-use proto::resp::{self, Reply, ReplyTail};
-use std::time::Duration;
-use tokio::time::timeout;
+use proto::resp::{self, Reply};
 
-/// The timeout for reading the rest of a response after a large value. Only the reuse of the connection depends on it:
-/// the client already has its value.
-const TAIL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The prefix of the error by which a cache node rejects a command as malformed.
 const SYNTAX_ERROR: &[u8] = b"SYNTAX";
 
@@ -48,19 +43,3 @@
         log::error!("upstream: endpoint {endpoint} rejected the command: -{text}{more}");
     }
 }
-
-/// Reads the rest of a response after a large value, so that the connection can be reused. Returns `None` if the
-/// connection cannot be reused.
-pub(super) async fn read_tail(mut connection: Connection, tail: Option<ReplyTail>) -> Option<Connection> {
-    let Some(tail) = tail else { return Some(connection) };
-    let reading = async {
-        loop {
-            match resp::decode_reply_tail(&mut connection.buffer, tail) {
-                Ok(None) => read_more(&mut connection).await.ok()?,
-                Ok(Some(())) => return Some(()),
-                Err(_) => return None,
-            }
-        }
-    };
-    timeout(TAIL_TIMEOUT, reading).await.ok().flatten().map(|()| connection)
-}
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -43,7 +43,7 @@
     pub(super) length: usize,
     /// Whether the connection can be reused after the response.
     pub(super) reusable: bool,
-    /// The rest of the response after the value, if any.
+    /// The part of the response after the value and its line end; `None` if the response ends with the value.
     pub(super) tail: Option<ReplyTail>,
 }
 
--- a/crates/upstream/src/connection/streamed.rs
+++ b/crates/upstream/src/connection/streamed.rs
@@ -1,9 +1,11 @@
 //! A large value that is forwarded to the client as it arrives on the endpoint's connection.
 
+use super::response::LargeResponse;
 use super::socket::Connection;
 use crate::memory::MemoryPermit;
 use bytes::{Buf, Bytes, BytesMut};
-use proto::MAX_BUFFERED_VALUE_BYTES;
+use proto::resp::{self, ReplyTail};
+use proto::{MAX_BUFFERED_VALUE_BYTES, ProtoError};
 use std::fmt;
 use std::io;
 use std::time::Duration;
@@ -20,7 +22,12 @@
 /// the value does not count.
 const TOTAL_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// A large value of known length. If it is dropped before it is read completely, the endpoint's connection is closed.
+/// How long the end of a value is held back while the part of the response after its line end is incomplete. Must be
+/// less than the 2 s after which a value that is held back counts as lost.
+const TAIL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A large value of known length. If it is dropped before [`StreamedValue::finish`] returns, the endpoint's connection
+/// is closed.
 pub struct StreamedValue {
     length: usize,
     remaining: usize,
@@ -34,23 +41,60 @@
     /// The bytes are read from the endpoint's connection.
     Connection {
         connection: Connection,
-        /// Returns the connection to its attempt.
-        return_sender: oneshot::Sender<Connection>,
+        /// The rest of the response after the value.
+        end: ValueEnd,
+        /// Tells the attempt how the response has ended.
+        end_sender: oneshot::Sender<StreamEnd>,
     },
     /// The value was buffered completely, because its length was not stated.
     Memory { value: Bytes, _memory: MemoryPermit },
-    /// All bytes were consumed, and the connection was returned.
-    Finished,
+}
+
+/// What follows a value in its response.
+#[derive(Debug, Clone, Copy)]
+enum ValueEnd {
+    /// Nothing: the response ends with the value.
+    Nothing,
+    /// The line end of the value, and then the tail.
+    LineEnd(ReplyTail),
+}
+
+/// How the response with a streamed value has ended. Not sent if the connection broke or the value was dropped.
+#[derive(Debug)]
+pub(super) enum StreamEnd {
+    /// The value is complete. Contains the connection if the response is complete too.
+    Complete(Option<Connection>),
+    /// The bytes after the value are malformed, so its stated length may be wrong.
+    Malformed(ProtoError),
+}
+
+/// Why the end of a response could not be read.
+enum EndError {
+    Io(io::Error),
+    Malformed(ProtoError),
+}
+
+impl From<io::Error> for EndError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+impl From<ProtoError> for EndError {
+    fn from(error: ProtoError) -> Self {
+        Self::Malformed(error)
+    }
 }
 
 impl StreamedValue {
-    /// Creates a value of this length that is read from `connection`. The receiver gets the connection back when the
-    /// value is complete.
+    /// Creates the value of `head`, which is read from `connection`. The receiver gets the connection back when the
+    /// response is complete.
     pub(super) fn from_connection(
-        length: usize, connection: Connection,
-    ) -> (Self, oneshot::Receiver<Connection>) {
-        let (return_sender, returned) = oneshot::channel();
-        (Self::new(length, ValueSource::Connection { connection, return_sender }), returned)
+        head: &LargeResponse, connection: Connection,
+    ) -> (Self, oneshot::Receiver<StreamEnd>) {
+        let (end_sender, ended) = oneshot::channel();
+        let end = head.tail.map_or(ValueEnd::Nothing, ValueEnd::LineEnd);
+        (Self::new(head.length, ValueSource::Connection { connection, end, end_sender }), ended)
     }
 
     /// Creates a value that was buffered completely.
@@ -81,14 +125,14 @@
         if self.is_complete() { 0 } else { READ_AHEAD }
     }
 
-    /// Returns whether all bytes have been consumed.
+    /// Returns whether all bytes have been consumed. [`StreamedValue::finish`] tells whether the value is complete.
     #[must_use]
-    pub fn is_finished(&self) -> bool {
+    pub fn is_consumed(&self) -> bool {
         self.remaining == 0
     }
 
     /// Returns the bytes that have arrived and are not consumed yet. Waits until there is at least one. Must not be
-    /// called once [`StreamedValue::is_finished`] returns `true`.
+    /// called once [`StreamedValue::is_consumed`] returns `true`.
     ///
     /// # Errors
     /// Returns an error if the connection breaks or a read times out. The rest of the value will not arrive.
@@ -96,41 +140,76 @@
         let available = match &mut self.source {
             ValueSource::Connection { connection, .. } => {
                 if connection.buffer.is_empty() {
-                    read_ahead(connection, &mut self.time_left).await?;
+                    read_more(connection, &mut self.time_left).await?;
                 }
                 &connection.buffer[..]
             }
             ValueSource::Memory { value, .. } => &value[..],
-            ValueSource::Finished => &[],
         };
         Ok(&available[..available.len().min(self.remaining)])
     }
 
-    /// Consumes bytes returned by [`StreamedValue::next_chunk`]. After the last byte, the endpoint's connection is
-    /// returned to its attempt.
+    /// Consumes bytes returned by [`StreamedValue::next_chunk`].
     pub fn consume(&mut self, bytes: usize) {
         self.remaining -= bytes;
         match &mut self.source {
             ValueSource::Connection { connection, .. } => connection.buffer.advance(bytes),
             ValueSource::Memory { value, .. } => value.advance(bytes),
-            ValueSource::Finished => {}
         }
-        if self.is_finished()
-            && let ValueSource::Connection { mut connection, return_sender } =
-                std::mem::replace(&mut self.source, ValueSource::Finished)
-        {
-            if connection.buffer.capacity() > MAX_BUFFERED_VALUE_BYTES {
-                // An idle connection must not keep a large buffer.
-                connection.buffer = BytesMut::from(&connection.buffer[..]);
+    }
+
+    /// Checks that the value ends where its stated length says, by the rest of the response. Returns the endpoint's
+    /// connection to its attempt. Call it when all bytes have been consumed; until it returns `Ok`, the client must not
+    /// get the end of the value.
+    ///
+    /// # Errors
+    /// Returns an error if the rest of the response is malformed, if the connection breaks, or if the line end of the
+    /// value does not arrive in time. The bytes of the value may be wrong.
+    pub async fn finish(self) -> io::Result<()> {
+        let ValueSource::Connection { mut connection, end, end_sender } = self.source else { return Ok(()) };
+        let is_complete = match read_end(&mut connection, end, self.time_left).await {
+            Ok(is_complete) => is_complete,
+            Err(EndError::Io(error)) => return Err(error),
+            Err(EndError::Malformed(error)) => {
+                let _ = end_sender.send(StreamEnd::Malformed(error)); // fails if the attempt was dropped
+                return Err(io::Error::new(io::ErrorKind::InvalidData, error));
             }
-            let _ = return_sender.send(connection); // fails if the attempt was dropped
+        };
+        if connection.buffer.capacity() > MAX_BUFFERED_VALUE_BYTES {
+            // An idle connection must not keep a large buffer.
+            connection.buffer = BytesMut::from(&connection.buffer[..]);
         }
+        let _ = end_sender.send(StreamEnd::Complete(is_complete.then_some(connection)));
+        Ok(())
     }
 }
 
-/// Reads into the connection's empty buffer, and subtracts the elapsed time from `time_left`.
-async fn read_ahead(connection: &mut Connection, time_left: &mut Duration) -> io::Result<()> {
-    connection.buffer.reserve(READ_AHEAD);
+/// Reads the rest of a response after its value. Returns `false` if the line end of the value has arrived, but the rest
+/// was still incomplete after [`TAIL_TIMEOUT`].
+async fn read_end(
+    connection: &mut Connection, end: ValueEnd, mut time_left: Duration,
+) -> Result<bool, EndError> {
+    let ValueEnd::LineEnd(tail) = end else { return Ok(true) };
+    while resp::decode_value_end(&mut connection.buffer)?.is_none() {
+        read_more(connection, &mut time_left).await?;
+    }
+    let read_tail = async {
+        while resp::decode_reply_tail(&mut connection.buffer, tail)?.is_none() {
+            read_more(connection, &mut time_left).await?;
+        }
+        Ok(())
+    };
+    match timeout(TAIL_TIMEOUT, read_tail).await {
+        Ok(result) => result.map(|()| true),
+        Err(_) => Ok(false),
+    }
+}
+
+/// Reads into the connection's buffer, and subtracts the elapsed time from `time_left`.
+async fn read_more(connection: &mut Connection, time_left: &mut Duration) -> io::Result<()> {
+    if connection.buffer.is_empty() {
+        connection.buffer.reserve(READ_AHEAD);
+    }
     let started_at = Instant::now();
     let reading = connection.stream.read_buf(&mut connection.buffer);
     let result = timeout(READ_TIMEOUT.min(*time_left), reading).await;
--- a/crates/upstream/tests/responses.rs
+++ b/crates/upstream/tests/responses.rs
@@ -202,13 +202,97 @@
     }
     while let Ok(length) = large.next_chunk().await.map(<[u8]>::len) {
         large.consume(length);
-        assert!(!large.is_finished());
+        assert!(!large.is_consumed());
     }
     drop(large);
     let result = run.await;
     assert_eq!((result.outcome, result.connection.is_some()), (Outcome::Reset, false));
 }
 
+/// The length of the large value in the tests of its end.
+const LARGE_BYTES: usize = 100_000;
+
+/// Returns the start of a response with a value of [`LARGE_BYTES`] whose stated length is off by `error_bytes`.
+fn large_value_with_length_error(error_bytes: isize) -> Vec<u8> {
+    let stated = LARGE_BYTES.checked_add_signed(error_bytes).unwrap();
+    [format!("*3\r\n${stated}\r\n").as_bytes(), &[b'x'; LARGE_BYTES]].concat()
+}
+
+/// Consumes all bytes of a large value.
+async fn consume(large: &mut StreamedValue) {
+    while !large.is_consumed() {
+        let length = large.next_chunk().await.unwrap().len();
+        large.consume(length);
+    }
+}
+
+/// Guards against serving a large value that is truncated or continues with other bytes: its stated length was trusted,
+/// and the bytes after it were checked only once the client had its end.
+#[rstest]
+#[case(-30_000)]
+#[case(-1_000)]
+#[case(-1)]
+#[case(1)]
+#[case(2)]
+#[case(7)]
+#[case(11)]
+#[tokio::test]
+async fn large_value_with_wrong_length_is_not_served_as_complete(#[case] error_bytes: isize) {
+    let mut fake = FakeEndpoint::new("m");
+    let response = [&large_value_with_length_error(error_bytes)[..], b"\r\n$3\r\nhit\r\n$-1\r\n"].concat();
+    let (mut large, _remote, run) = start_streaming(&mut fake, &response).await;
+    consume(&mut large).await;
+    assert!(large.finish().await.is_err());
+    let result = run.await;
+    assert_eq!((result.outcome, result.connection.is_some()), (Outcome::Error, false));
+}
+
+/// Guards against serving a large value as complete after its connection broke, and against losing one that is complete.
+#[rstest]
+#[case("", EndpointAction::Ends, false)]
+#[case("", EndpointAction::Resets, false)]
+#[case("\r", EndpointAction::Ends, false)]
+#[case("\r\n$3\r\nh", EndpointAction::Ends, false)]
+#[case("\r\n$3\r\nh", EndpointAction::Resets, false)]
+#[case("\r\n$3\r\nhit\r\n$-1\r\n", EndpointAction::Ends, true)]
+#[case("\r\n$3\r\nhit\r\n$-1\r\n", EndpointAction::StaysSilent, true)]
+#[tokio::test]
+async fn large_value_is_complete_only_with_rest_of_response(
+    #[case] rest: &str, #[case] action: EndpointAction, #[case] complete: bool,
+) {
+    let mut fake = FakeEndpoint::new("m");
+    let response = [&large_value_with_length_error(0)[..], rest.as_bytes()].concat();
+    let (mut large, remote, run) = start_streaming(&mut fake, &response).await;
+    consume(&mut large).await;
+    match action {
+        EndpointAction::Resets => reset(remote),
+        EndpointAction::Ends => remote.shutdown(Shutdown::Write).unwrap(),
+        EndpointAction::StaysSilent => {}
+    }
+    assert_eq!(large.finish().await.is_ok(), complete);
+    let result = run.await;
+    assert_eq!(result.outcome, if complete { Outcome::Ok } else { Outcome::Reset });
+    assert_eq!(result.connection.is_some(), complete);
+}
+
+/// Guards against holding back a value for 2 s behind a slow rest of its response, and against reusing its connection.
+#[tokio::test]
+async fn large_value_with_late_rest_of_response_ends_within_two_seconds() {
+    let mut fake = FakeEndpoint::new("m");
+    let response = [&large_value_with_length_error(0)[..], b"\r\n$3\r\nh"].concat();
+    let (mut large, remote, run) = start_streaming(&mut fake, &response).await;
+    consume(&mut large).await;
+    let mut finish = pin!(large.finish());
+    for (advance, ends) in [(0, false), (1_000, false), (950, true)] {
+        advance_paused(Duration::from_millis(advance)).await;
+        let poll = poll_fn(|cx| Poll::Ready(finish.as_mut().poll(cx))).await;
+        assert_eq!(matches!(poll, Poll::Ready(Ok(()))), ends, "{poll:?} after {advance} ms more");
+    }
+    let result = run.await;
+    assert_eq!((result.outcome, result.connection.is_some()), (Outcome::Ok, false));
+    drop(remote);
+}
+
 #[tokio::test]
 async fn trickling_large_response_times_out() {
     let mut fake = FakeEndpoint::new("m");
