Let a connection rest after a response, so that no late second copy answers another request

Cause: a connection was used again at once. An endpoint sends a second copy while nothing else waits on the connection, so the copy and the next request crossed; the copy was read as the response, and the connection stayed one response behind.

A request that finds only resting connections waits for one if the endpoint takes longer than the rest for a response, else it gets a new one. A response on a connection that has carried another is doubtful and no proof that a request never ran; requests that must not run twice go out on unused connections only. Tests that counted on reuse at once wait until the rest is over; what they check is the same.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -87,6 +87,9 @@
         finished: bool,
         /// On a miss: whether the endpoint has already told another request to fetch the key.
         fetch_pending: bool,
+        /// Whether the response may be a late second copy of an earlier response on the same connection. `outcome` then
+        /// does not prove that the request never ran.
+        doubtful: bool,
         /// Whether the attempt was lost with a stale connection, which says nothing about the endpoint: a reused
         /// connection broke before the first byte of an answer, or an open connection broke before the request was
         /// written completely. `outcome` still tells whether the request may have run.
--- a/crates/decide/src/in_flight.rs
+++ b/crates/decide/src/in_flight.rs
@@ -29,6 +29,8 @@
     pub(crate) cut_short: bool,
     /// Whether the attempt was lost with a stale connection, so that its endpoint may be tried again.
     pub(crate) stale: bool,
+    /// Whether the outcome may be that of an earlier attempt on the same connection.
+    pub(crate) doubtful: bool,
     /// Outcome of the attempt; `None` while it is outstanding.
     pub(crate) outcome: Option<Outcome>,
 }
@@ -44,6 +46,7 @@
             cell: entry.cell,
             cut_short: false,
             stale: false,
+            doubtful: false,
             outcome: None,
         }
     }
@@ -59,7 +62,7 @@
 
     /// Returns whether the endpoint may have executed the request.
     pub(crate) fn may_have_run(&self) -> bool {
-        self.outcome.is_none_or(|outcome| !outcome.proves_never_ran())
+        self.doubtful || self.outcome.is_none_or(|outcome| !outcome.proves_never_ran())
     }
 
     /// Returns whether the attempt has not ended.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -55,6 +55,7 @@
 //!     latency_us: 400,
 //!     finished: false,
 //!     fetch_pending: false,
+//!     doubtful: false,
 //!     stale: false,
 //! };
 //! router.handle(1_400, miss, &mut actions);
--- a/crates/decide/src/policy/attempts.rs
+++ b/crates/decide/src/policy/attempts.rs
@@ -65,6 +65,8 @@
     pub(super) finished: bool,
     /// On a miss: whether another request is already fetching the key.
     pub(super) fetch_pending: bool,
+    /// Whether the outcome may be that of an earlier attempt on the same connection.
+    pub(super) doubtful: bool,
     /// Whether the attempt was lost with a stale connection.
     pub(super) stale: bool,
 }
--- a/crates/decide/src/policy/dispatcher.rs
+++ b/crates/decide/src/policy/dispatcher.rs
@@ -108,6 +108,7 @@
         }
         attempt.outcome = Some(result.outcome);
         attempt.stale = result.stale;
+        attempt.doubtful = result.doubtful;
         if attempt.cut_short {
             self.retry_budget.release_reserved(result.outcome);
         }
--- a/crates/decide/src/policy/router.rs
+++ b/crates/decide/src/policy/router.rs
@@ -45,8 +45,9 @@
             Event::EndpointList(kind, entries) => self.apply_endpoint_list(kind, &entries),
             Event::Request(request) if dispatcher.requests.contains_key(&request.id) => {}
             Event::Request(request) => self.accept_request(request),
-            Event::Outcome { id, attempt, outcome, latency_us, finished, fetch_pending, stale } => {
-                let result = AttemptResult { attempt, outcome, latency_us, finished, fetch_pending, stale };
+            Event::Outcome { id, attempt, outcome, latency_us, finished, fetch_pending, doubtful, stale } => {
+                let result =
+                    AttemptResult { attempt, outcome, latency_us, finished, fetch_pending, doubtful, stale };
                 self.end_attempt(id, result);
             }
             // From the first byte on, the stream belongs to the client: no attempt is sent or cancelled.
--- a/crates/decide/tests/client_left.rs
+++ b/crates/decide/tests/client_left.rs
@@ -46,6 +46,7 @@
                     latency_us,
                     finished,
                     fetch_pending,
+                    doubtful: false,
                     stale,
                 })
             }
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -100,13 +100,35 @@
     pub fn end_attempt(&mut self, id: u64, attempt: u16, outcome: Outcome) -> Vec<Action> {
         self.end_attempt_after(id, attempt, outcome, 10 * MS)
     }
+    /// Ends an attempt after 1 ms with an outcome that may be that of an earlier attempt on the same connection.
+    pub fn end_attempt_in_doubt(&mut self, id: u64, attempt: u16, outcome: Outcome) -> Vec<Action> {
+        self.handle(Event::Outcome {
+            id: RequestId(id),
+            attempt,
+            outcome,
+            latency_us: 1_000,
+            finished: false,
+            fetch_pending: false,
+            doubtful: true,
+            stale: false,
+        })
+    }
     /// Ends an attempt after 1 ms without finishing the request; `stale` tells whether its connection was stale.
     pub fn end_attempt_with_stale(
         &mut self, id: u64, attempt: u16, outcome: Outcome, stale: bool,
     ) -> Vec<Action> {
         let (id, latency_us) = (RequestId(id), 1_000);
-        let (finished, fetch_pending) = (false, false);
-        self.handle(Event::Outcome { id, attempt, outcome, latency_us, finished, fetch_pending, stale })
+        let (finished, fetch_pending, doubtful) = (false, false, false);
+        self.handle(Event::Outcome {
+            id,
+            attempt,
+            outcome,
+            latency_us,
+            finished,
+            fetch_pending,
+            doubtful,
+            stale,
+        })
     }
     /// Ends an attempt after `latency_us`. [`Outcome::Ok`] finishes the request.
     pub fn end_attempt_after(
@@ -121,6 +143,7 @@
             latency_us,
             finished,
             fetch_pending: false,
+            doubtful: false,
             stale: false,
         })
     }
--- a/crates/decide/tests/requests.rs
+++ b/crates/decide/tests/requests.rs
@@ -225,6 +225,25 @@
     }
 }
 
+/// Guards against a second execution after a rejection that was meant for an earlier request on the same connection.
+#[test]
+fn doubtful_rejection_does_not_prove_that_request_never_ran() {
+    let mut router = TestRouter::new(settings(), 1, 3);
+    router.submit(write_request(1, 2));
+    assert!(is_failed(&router.end_attempt_in_doubt(1, 0, Outcome::Rejected)), "not to be executed twice");
+
+    let through = Settings { mode: Mode::ReadThrough, ..settings() };
+    for seed in 0..20 {
+        let mut router = TestRouter::new(through.clone(), seed, 0);
+        let zoned = (1..=6).map(|id| EndpointEntry { zone: ZoneId((id % 3) as u8), ..entry(id) });
+        router.apply_list(ListKind::Full, zoned.collect());
+        let first = router.endpoint_for(Request { key: Some(Key(seed)), ..request(1, 4, 7) }).unwrap();
+        for again in forwarded_to(&router.end_attempt_in_doubt(1, 0, Outcome::Rejected)) {
+            assert_eq!(again % 3, first % 3, "its key is known only in the zone");
+        }
+    }
+}
+
 #[test]
 fn retry_budget_bounds_retries() {
     let mut router = TestRouter::new(settings(), 1, 5);
--- a/crates/emulator/src/simulation/gateway_events.rs
+++ b/crates/emulator/src/simulation/gateway_events.rs
@@ -164,8 +164,16 @@
         let finished = context.answered || outcome == Outcome::Ok;
         self.referee.record(self.now, Observation::Ended { request, attempt, outcome });
         self.remove_completed(gateway, request);
-        let (id, latency_us, fetch_pending, stale) = (request, self.now - sent, false, false);
-        Some(Event::Outcome { id, attempt, outcome, latency_us, finished, fetch_pending, stale })
+        Some(Event::Outcome {
+            id: request,
+            attempt,
+            outcome,
+            latency_us: self.now - sent,
+            finished,
+            fetch_pending: false,
+            doubtful: false,
+            stale: false,
+        })
     }
 
     fn remove_completed(&mut self, gateway: usize, request: RequestId) {
--- a/crates/emulator/src/simulation/state.rs
+++ b/crates/emulator/src/simulation/state.rs
@@ -148,10 +148,16 @@
             if let Some(Action::Forward { endpoint, .. }) = actions.first() {
                 self.nodes[endpoint.0 as usize - 1].store(intent.key);
             }
-            let (outcome, finished) = (Outcome::Ok, true);
-            let (fetch_pending, stale) = (false, false);
-            let outcome_event =
-                Event::Outcome { id, attempt: 0, outcome, latency_us: 1, finished, fetch_pending, stale };
+            let outcome_event = Event::Outcome {
+                id,
+                attempt: 0,
+                outcome: Outcome::Ok,
+                latency_us: 1,
+                finished: true,
+                fetch_pending: false,
+                doubtful: false,
+                stale: false,
+            };
             router.handle(n * 20_000, outcome_event, &mut actions);
         }
         self.clients = Clients::new(self.scenario);
--- a/crates/gateway/src/engine/phases/attempts.rs
+++ b/crates/gateway/src/engine/phases/attempts.rs
@@ -60,8 +60,11 @@
         // avoids idle connections to an endpoint that closed one recently.
         let needs_new_connection = context.used_stale_connection
             || (call.value.is_some() && self.pools.was_stale_recently(endpoint));
+        let is_non_idempotent = context.effect == Effect::NonIdempotent;
         let source = if needs_new_connection {
             self.pools.check_out_new(endpoint)
+        } else if is_non_idempotent {
+            self.pools.check_out_unused(endpoint)
         } else {
             self.pools.check_out(endpoint)
         };
@@ -72,7 +75,7 @@
             connect_timeout: self.bounds.dial,
             deadline,
             permit,
-            is_non_idempotent: context.effect == Effect::NonIdempotent,
+            is_non_idempotent,
             throttles: self.throttles.clone(),
             budget: self.handle.budget.clone(),
             written_count: self.handle.counters.borrow().attempts.clone(),
@@ -97,6 +100,7 @@
             latency_us: attempt.sent_at.elapsed().as_micros() as Micros,
             finished: true,
             fetch_pending: false,
+            doubtful: false,
             stale: false,
         });
     }
@@ -104,19 +108,19 @@
     /// Handles the end of an attempt. A cancelled attempt may outlive its request: the decision module counts it as in
     /// flight until this event.
     pub(in crate::engine) fn handle_attempt_ended(
-        &mut self, attempt: &InFlightAttempt, result: AttemptResult,
+        &mut self, attempt: &InFlightAttempt, mut result: AttemptResult,
     ) {
         let InFlightAttempt { request: id, number, ref endpoint, sent_at, audited_version } = *attempt;
         self.audit_attempt(audited_version, endpoint.is_origin, result.outcome);
         self.handle.counters.borrow_mut().count_attempt(endpoint.is_origin, &result);
-        self.pools.check_in(endpoint, result.connection);
+        self.pools.check_in(endpoint, result.connection.take());
         if result.stale {
             self.pools.record_stale(endpoint);
         }
         if matches!(result.outcome, Outcome::Timeout | Outcome::Cancelled) {
             self.preconnect(endpoint);
         }
-        if self.finish_in_flight(id, number, result.outcome, result.stale) {
+        if self.finish_in_flight(id, number, &result) {
             return self.remove_if_finished(id);
         }
         let latency_us = sent_at.elapsed().as_micros() as Micros;
@@ -135,6 +139,7 @@
             latency_us,
             finished,
             fetch_pending: result.fetch_pending,
+            doubtful: result.doubtful,
             stale: result.stale,
         });
         self.remove_if_finished(id);
@@ -143,15 +148,15 @@
     /// Removes an attempt from its request. Returns whether its answer was streamed. The decision module already knows
     /// the outcome of a streamed attempt, but only its end shows whether the answer was complete, which is counted
     /// here.
-    fn finish_in_flight(&mut self, id: RequestId, number: u16, outcome: Outcome, stale: bool) -> bool {
+    fn finish_in_flight(&mut self, id: RequestId, number: u16, result: &AttemptResult) -> bool {
         let Some(context) = self.requests.get_mut(&id) else { return false };
         context.in_flight.retain(|attempt| attempt.number != number);
-        if outcome.proves_never_ran() {
+        if result.outcome.proves_never_ran() && !result.doubtful {
             context.mark_not_executed(number);
         }
-        context.used_stale_connection |= stale;
+        context.used_stale_connection |= result.stale;
         if context.is_streaming {
-            let complete = outcome == Outcome::Ok;
+            let complete = result.outcome == Outcome::Ok;
             self.handle.counters.borrow_mut().count_streamed(context.class, complete);
         }
         context.is_streaming
@@ -168,6 +173,7 @@
         latency_us: 0,
         finished: !awaited,
         fetch_pending: false,
+        doubtful: false,
         stale: false,
     }
 }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -106,6 +106,7 @@
         value: Bytes::from_static(value),
         large: None,
         fetch_pending: false,
+        doubtful: false,
         stale: false,
         connection: None,
     }
--- a/crates/simulator-adapter/src/event.rs
+++ b/crates/simulator-adapter/src/event.rs
@@ -154,7 +154,9 @@
             latency_us: record.u32(21).into(),
             finished: record.u8(25) != 0,
             fetch_pending: record.u8(26) == FETCH_PENDING,
-            stale: false, // the wire format has no connections
+            // The wire format has no connections.
+            doubtful: false,
+            stale: false,
         })
     }
 
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -71,6 +71,7 @@
         latency_us: 0x4844,
         finished: false,
         fetch_pending: true,
+        doubtful: false,
         stale: false,
     };
     assert_eq!(outcome, expected);
--- a/crates/spindlebeam/tests/drain.rs
+++ b/crates/spindlebeam/tests/drain.rs
@@ -347,6 +347,7 @@
     if waits == WaitsFor::OtherFetch {
         waiting.pop().unwrap().respond_miss();
         waiting.push(platform.origin.next_request());
+        wait_until_rested(); // the second read uses the only connection to the cache node
     }
     client.get_with_deadline("leer", "1", Duration::from_millis(800));
     match waits {
--- a/crates/spindlebeam/tests/platform/mod.rs
+++ b/crates/spindlebeam/tests/platform/mod.rs
@@ -22,6 +22,7 @@
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
+use upstream::connection::REST_PERIOD;
 
 /// Timeout of every wait for an event.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -39,6 +40,12 @@
     }
 }
 
+/// Waits until the connections on which responses were read before this call may be used again.
+pub fn wait_until_rested() {
+    let started_at = Instant::now();
+    wait_until(|| started_at.elapsed() > REST_PERIOD);
+}
+
 /// A balancer process with its cache nodes, origin and discovery.
 pub struct Platform {
     pub config: Value,
@@ -116,7 +123,8 @@
         let busy = (0..slots).map(|_| busy_client()).collect();
         (busy, self.origin.next_request())
     }
-    /// Finds a key that is first sent to this cache node by trying keys; every attempt is answered.
+    /// Finds a key that is first sent to this cache node by trying keys; every attempt is answered. One connection to
+    /// each cache node that was tried is idle afterwards, and may be used again.
     pub fn key_of(&self, peer: usize) -> String {
         let mut client = self.balancer.client();
         (1..)
@@ -125,7 +133,9 @@
                 client.get("leer", key);
                 let (found, request) = next_request_of_any(&self.peers);
                 request.respond_value("x");
-                client.read_answer() == "x" && found == peer
+                let is_found = client.read_answer() == "x" && found == peer;
+                wait_until_rested();
+                is_found
             })
             .unwrap()
     }
--- a/crates/spindlebeam/tests/platform/peer.rs
+++ b/crates/spindlebeam/tests/platform/peer.rs
@@ -25,6 +25,10 @@
 }
 
 impl PeerRequest {
+    /// Returns whether both requests came on one connection.
+    pub fn shares_connection_with(&self, other: &PeerRequest) -> bool {
+        self.stream.peer_addr().unwrap() == other.stream.peer_addr().unwrap()
+    }
     /// Writes a part of an answer. Errors are ignored: the connection may be closed.
     pub fn write_part(&mut self, bytes: &str) {
         let _ = self.stream.write_all(bytes.as_bytes());
--- a/crates/spindlebeam/tests/serve.rs
+++ b/crates/spindlebeam/tests/serve.rs
@@ -2,7 +2,10 @@
 
 mod platform;
 use platform::*;
+use rstest::rstest;
 use serde_json::Value;
+use std::time::Instant;
+use upstream::connection::REST_PERIOD;
 
 #[test]
 fn miss_is_fetched_from_origin_and_served_unchanged() {
@@ -100,6 +103,63 @@
     }
 }
 
+/// Guards against serving a request with a late second copy of the response before it on the same connection: the next
+/// request crosses the copy, and the connection stays one response behind.
+#[rstest]
+fn late_second_response_is_not_read_as_response_to_next_request(#[values(false, true)] is_write: bool) {
+    let platform = Platform::start(1);
+    let mut client = platform.balancer.client();
+    let (endpoint, response) = if is_write {
+        (&platform.origin, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nuno")
+    } else {
+        (&platform.peers[0], "*3\r\n$3\r\nuno\r\n$3\r\nhit\r\n$-1\r\n")
+    };
+    let send = |client: &mut Client, text: &str| {
+        if is_write {
+            client.set("alta", text)
+        } else {
+            client.get("leer", text)
+        };
+        endpoint.next_request()
+    };
+    let mut first = send(&mut client, "1");
+    let responded_at = Instant::now();
+    first.write_part(response);
+    assert_eq!(client.read_answer(), "uno");
+    let second = send(&mut client, "2");
+    if second.shares_connection_with(&first) {
+        return assert!(responded_at.elapsed() >= REST_PERIOD, "reused while a second copy may be under way");
+    }
+    first.write_part(response);
+    if is_write {
+        second.respond_http("200 OK", "dos")
+    } else {
+        second.respond_value("dos")
+    }
+    assert_eq!(client.read_answer(), "dos");
+}
+
+/// Guards against a request that runs twice though it must not: a late second copy of "declined", for the request
+/// before it on the same connection, was taken as proof that it never ran.
+#[test]
+fn late_second_decline_does_not_repeat_fragile_write() {
+    let platform = Platform::start(1);
+    let mut client = platform.balancer.client();
+    let declined = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+    client.get("leer", "1");
+    platform.peers[0].next_request().respond_miss();
+    let mut fetch = platform.origin.next_request();
+    fetch.write_part(declined);
+    assert!(client.read_answer().starts_with('-'), "a declined fetch is not repeated");
+    wait_until_rested();
+    client.set("folio", "b");
+    let write = platform.origin.next_request();
+    fetch.write_part(declined);
+    write.respond_http("200 OK", "recibo");
+    assert_eq!(client.read_answer(), "recibo");
+    assert!(platform.origin.has_no_more_requests());
+}
+
 #[test]
 fn fragile_write_declined_by_origin_is_retried() {
     let platform = Platform::start(1);
--- a/crates/spindlebeam/tests/values.rs
+++ b/crates/spindlebeam/tests/values.rs
@@ -42,6 +42,7 @@
     );
     pieces.for_each(|piece| request.write_part(piece));
     assert_eq!(client.read_bulk(4 << 20), large);
+    wait_until_rested();
     platform.peers[0].clear_connections();
     client.get("leer", "2");
     let request = platform.peers[0].next_request();
--- a/crates/upstream/src/connection/attempt.rs
+++ b/crates/upstream/src/connection/attempt.rs
@@ -110,11 +110,19 @@
         }
         stage.set(Stage::Written);
         self.written_count.set(self.written_count.get() + 1);
+        let written_at = Instant::now();
+        let doubtful = connection.has_carried_response();
         match self.read_response(&mut connection).await {
             Ok(Response::Complete { result, reusable }) => {
-                AttemptResult { connection: reusable.then_some(connection), ..result }
+                connection.record_response(written_at);
+                AttemptResult { doubtful, connection: reusable.then_some(connection), ..result }
+            }
+            Ok(Response::Large(head)) => {
+                let (value, ended) = StreamedValue::from_connection(&head, connection, written_at);
+                stage.set(Stage::Streaming);
+                on_streaming(Box::new(value));
+                self.finish_streaming(&head, ended).await
             }
-            Ok(Response::Large(head)) => self.stream_value(connection, &head, stage, on_streaming).await,
             Err(ResponseError::Reset) => {
                 let stale = is_reused && connection.buffer.is_empty();
                 AttemptResult { stale, ..Outcome::Reset.into() }
@@ -127,6 +135,11 @@
     }
 
     async fn open_connection(&self, source: ConnectionSource) -> Result<Connection, Outcome> {
+        if let ConnectionSource::Idle(connection) = &source
+            && let Some(rests_until) = connection.rests_until(Instant::now())
+        {
+            sleep_until(rests_until).await;
+        }
         let (_replaced, permit) = match source {
             ConnectionSource::Idle(connection) if connection.has_no_input() => return Ok(connection),
             // Input has arrived since the connection was checked out. The connection is closed when its replacement is
@@ -164,14 +177,10 @@
         }
     }
 
-    /// Passes a large value to `on_streaming`, and waits until the response has been read.
-    async fn stream_value(
-        &self, connection: Connection, head: &LargeResponse, stage: &Cell<Stage>,
-        on_streaming: impl FnOnce(Box<StreamedValue>),
+    /// Waits until the response with a streamed value has been read.
+    async fn finish_streaming(
+        &self, head: &LargeResponse, ended: oneshot::Receiver<StreamEnd>,
     ) -> AttemptResult {
-        let (value, ended) = StreamedValue::from_connection(head, connection);
-        stage.set(Stage::Streaming);
-        on_streaming(Box::new(value));
         match ended.await {
             Ok(StreamEnd::Complete(connection)) => {
                 AttemptResult { connection: connection.filter(|_| head.reusable), ..Outcome::Ok.into() }
--- a/crates/upstream/src/connection/mod.rs
+++ b/crates/upstream/src/connection/mod.rs
@@ -19,5 +19,5 @@
 pub use pools::{ConnectionCounters, ConnectionPools, ConnectionSource};
 pub use result::AttemptResult;
 pub use send::SendPermit;
-pub use socket::{Connection, ConnectionPermit};
+pub use socket::{Connection, ConnectionPermit, REST_PERIOD};
 pub use streamed::StreamedValue;
--- a/crates/upstream/src/connection/pools.rs
+++ b/crates/upstream/src/connection/pools.rs
@@ -1,6 +1,6 @@
 //! Pools of idle connections, and the limit on open connections.
 
-use super::socket::{Connection, ConnectionPermit};
+use super::socket::{Connection, ConnectionPermit, UnexpectedInput};
 use crate::endpoints::Endpoint;
 use crate::setup::Bounds;
 use decide::api::EndpointId;
@@ -34,8 +34,14 @@
 }
 
 impl IdleConnection {
-    fn is_usable(&self, idle_timeout: Duration) -> bool {
-        self.since.elapsed() < idle_timeout && self.connection.has_no_input()
+    /// Checks whether the connection can be used. If not, counts why.
+    fn is_usable(&self, idle_timeout: Duration, counters: &mut ConnectionCounters) -> bool {
+        match self.connection.check_no_input() {
+            Err(UnexpectedInput::Bytes) => counters.unexpected_input += 1,
+            Ok(()) if self.since.elapsed() < idle_timeout => return true,
+            _ => counters.retired += 1,
+        }
+        false
     }
 }
 
@@ -61,7 +67,10 @@
     pub reused: u64,
     /// Idle connections that were removed because the endpoint had closed them or the idle timeout had passed.
     pub retired: u64,
-    /// Idle connections that were closed because of the decision module or an endpoint list.
+    /// Connections that were closed because bytes had arrived after a complete response, such as a second copy of it.
+    pub unexpected_input: u64,
+    /// Idle connections that were closed because of the decision module or an endpoint list, or replaced by a new one
+    /// for a request that needs an unused connection.
     pub closed: u64,
     /// Connections that could not be opened, or could not be reused after an attempt.
     pub not_reusable: u64,
@@ -71,12 +80,11 @@
 
 impl fmt::Display for ConnectionCounters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { dialled, dialled_origin, reused, retired, closed, not_reusable, stale } = self;
+        let Self { dialled, dialled_origin, reused, retired, unexpected_input, closed, not_reusable, stale } =
+            self;
         write!(f, "{dialled} dialled to cache nodes, {dialled_origin} to the origin, {reused} reused, ")?;
-        write!(
-            f,
-            "{retired} retired, {closed} closed idle, {not_reusable} not reusable, {stale} of them stale"
-        )
+        write!(f, "{retired} retired, {unexpected_input} with unexpected input, {closed} closed idle, ")?;
+        write!(f, "{not_reusable} not reusable, {stale} of them stale")
     }
 }
 
@@ -93,17 +101,47 @@
         }
     }
 
-    /// Returns a connection for an attempt: the most recently used idle connection, or a new one.
+    /// Returns a connection for an attempt: of the idle connections that have rested, the most recently used one; else
+    /// the longest idle one that is worth waiting for, which the attempt must let rest; else a new connection.
     pub fn check_out(&mut self, endpoint: &Endpoint) -> ConnectionSource {
+        let now = Instant::now();
+        let idle = self.take_idle(endpoint, |idle| {
+            let rested = idle.iter().rposition(|idle| idle.connection.rests_until(now).is_none());
+            rested.or_else(|| idle.iter().position(|idle| idle.connection.is_worth_waiting_for()))
+        });
+        idle.map_or_else(|| self.check_out_new(endpoint), ConnectionSource::Idle)
+    }
+
+    /// Returns a connection that has carried no response, for a request that must never be executed twice: a late
+    /// second copy of an earlier response could say that the request was not executed. A new connection replaces the
+    /// one that has been idle longest, so that the pool does not grow.
+    pub fn check_out_unused(&mut self, endpoint: &Endpoint) -> ConnectionSource {
+        let unused = self.take_idle(endpoint, |idle| {
+            idle.iter().rposition(|idle| !idle.connection.has_carried_response())
+        });
+        if let Some(unused) = unused {
+            return ConnectionSource::Idle(unused);
+        }
+        if let Some(idle) = self.idle.get_mut(&endpoint.id).filter(|idle| !idle.is_empty()) {
+            idle.remove(0);
+            self.counters.closed += 1;
+        }
+        self.check_out_new(endpoint)
+    }
+
+    /// Removes the idle connection at the index that `find` returns. Closes those that are unusable.
+    fn take_idle(
+        &mut self, endpoint: &Endpoint, find: impl Fn(&[IdleConnection]) -> Option<usize>,
+    ) -> Option<Connection> {
         let idle = self.idle.entry(endpoint.id).or_default();
-        while let Some(candidate) = idle.pop() {
-            if candidate.is_usable(self.bounds.idle) {
+        while let Some(index) = find(idle) {
+            let candidate = idle.remove(index);
+            if candidate.is_usable(self.bounds.idle, &mut self.counters) {
                 self.counters.reused += 1;
-                return ConnectionSource::Idle(candidate.connection);
+                return Some(candidate.connection);
             }
-            self.counters.retired += 1;
         }
-        self.check_out_new(endpoint)
+        None
     }
 
     /// Returns a new connection for an attempt, even if the endpoint has idle connections.
@@ -138,13 +176,18 @@
     /// Returns the connection of an attempt to the pool; `None` if it was closed or could not be opened. The connection
     /// is kept if the endpoint is ready and has sent nothing after its response.
     pub fn check_in(&mut self, endpoint: &Endpoint, connection: Option<Connection>) {
-        let reusable = connection.filter(|connection| endpoint.is_ready() && connection.has_no_input());
-        let Some(connection) = reusable else {
+        let Some(connection) = connection.filter(|_| endpoint.is_ready()) else {
             self.counters.not_reusable += 1;
             return;
         };
-        let idle = IdleConnection { since: Instant::now(), connection };
-        self.idle.entry(endpoint.id).or_default().push(idle);
+        match connection.check_no_input() {
+            Ok(()) => {
+                let idle = IdleConnection { since: Instant::now(), connection };
+                self.idle.entry(endpoint.id).or_default().push(idle);
+            }
+            Err(UnexpectedInput::Bytes) => self.counters.unexpected_input += 1,
+            Err(_) => self.counters.not_reusable += 1,
+        }
     }
 
     /// Records that an endpoint has closed a connection without this balancer noticing before the next request.
@@ -167,12 +210,9 @@
     /// Closes the connections whose idle timeout has passed or that their endpoint has closed.
     pub fn sweep(&mut self) {
         self.stale_seen_at.retain(|_, seen| seen.elapsed() < STALE_PERIOD);
-        let idle_timeout = self.bounds.idle;
-        let retired = &mut self.counters.retired;
+        let (idle_timeout, counters) = (self.bounds.idle, &mut self.counters);
         self.idle.retain(|_, idle| {
-            let before = idle.len();
-            idle.retain(|connection| connection.is_usable(idle_timeout));
-            *retired += (before - idle.len()) as u64;
+            idle.retain(|connection| connection.is_usable(idle_timeout, counters));
             !idle.is_empty()
         });
     }
--- a/crates/upstream/src/connection/result.rs
+++ b/crates/upstream/src/connection/result.rs
@@ -16,6 +16,9 @@
     pub large: Option<Box<StreamedValue>>,
     /// Whether the cache node has missed while another fetch of the key is in flight.
     pub fetch_pending: bool,
+    /// Whether the response may be a late second copy of an earlier response on the same connection, which no byte of
+    /// it would show. Such a response does not prove that the request was not executed.
+    pub doubtful: bool,
     /// Whether the attempt failed because its connection was stale, which says nothing about the endpoint's health: a
     /// reused connection broke before the first byte of a response, or an open connection broke before the request was
     /// written.
@@ -31,6 +34,7 @@
             value: Bytes::new(),
             large: None,
             fetch_pending: false,
+            doubtful: false,
             stale: false,
             connection: None,
         }
--- a/crates/upstream/src/connection/socket.rs
+++ b/crates/upstream/src/connection/socket.rs
@@ -6,8 +6,15 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// How long nothing is written to a connection after a response. An endpoint may send a second copy of a response some
+/// milliseconds late, unless the next request has reached it by then. A copy that arrives within this time is seen
+/// before the next request is written.
+pub const REST_PERIOD: Duration = Duration::from_millis(20);
 
 /// A permit for one open connection. Released when dropped.
 #[derive(Debug)]
@@ -37,12 +44,47 @@
     /// Received bytes that are not parsed yet.
     pub(super) buffer: BytesMut,
     permit: ConnectionPermit,
+    /// The latest response; `None` if there was none.
+    last_response: Option<LastResponse>,
+}
+
+/// When the latest response on a connection was complete, and how long it took.
+#[derive(Debug, Clone, Copy)]
+struct LastResponse {
+    completed_at: Instant,
+    latency: Duration,
 }
 
 impl Connection {
     /// Creates a connection with an empty buffer.
     pub(super) fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
-        Self { stream, buffer: BytesMut::new(), permit }
+        Self { stream, buffer: BytesMut::new(), permit, last_response: None }
+    }
+
+    /// Records that the response to a request written at `written_at` was read completely.
+    pub(super) fn record_response(&mut self, written_at: Instant) {
+        let completed_at = Instant::now();
+        let latency = completed_at.saturating_duration_since(written_at);
+        self.last_response = Some(LastResponse { completed_at, latency });
+    }
+
+    /// Returns whether a response was read on this connection. A second copy of it may still arrive.
+    pub(super) fn has_carried_response(&self) -> bool {
+        self.last_response.is_some()
+    }
+
+    /// Returns when the connection will have rested for [`REST_PERIOD`] since the latest response; `None` if it may be
+    /// used at `now`.
+    pub(super) fn rests_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.last_response?.completed_at + REST_PERIOD;
+        (until > now).then_some(until)
+    }
+
+    /// Returns whether a request should wait until the connection has rested, rather than for a new connection: the
+    /// endpoint takes longer for a response than the connection rests, so that the wait is short compared with it. A
+    /// new connection costs the endpoint work.
+    pub(super) fn is_worth_waiting_for(&self) -> bool {
+        self.last_response.is_none_or(|response| response.latency > REST_PERIOD)
     }
 
     /// Returns the stream, and the permit for a connection that replaces this one.
--- a/crates/upstream/src/connection/streamed.rs
+++ b/crates/upstream/src/connection/streamed.rs
@@ -41,6 +41,8 @@
     /// The bytes are read from the endpoint's connection.
     Connection {
         connection: Connection,
+        /// When the request was written.
+        written_at: Instant,
         /// The rest of the response after the value.
         end: ValueEnd,
         /// Tells the attempt how the response has ended.
@@ -90,11 +92,11 @@
     /// Creates the value of `head`, which is read from `connection`. The receiver gets the connection back when the
     /// response is complete.
     pub(super) fn from_connection(
-        head: &LargeResponse, connection: Connection,
+        head: &LargeResponse, connection: Connection, written_at: Instant,
     ) -> (Self, oneshot::Receiver<StreamEnd>) {
         let (end_sender, ended) = oneshot::channel();
         let end = head.tail.map_or(ValueEnd::Nothing, ValueEnd::LineEnd);
-        (Self::new(head.length, ValueSource::Connection { connection, end, end_sender }), ended)
+        (Self::new(head.length, ValueSource::Connection { connection, written_at, end, end_sender }), ended)
     }
 
     /// Creates a value that was buffered completely.
@@ -166,7 +168,9 @@
     /// Returns an error if the rest of the response is malformed, if the connection breaks, or if the line end of the
     /// value does not arrive in time. The bytes of the value may be wrong.
     pub async fn finish(self) -> io::Result<()> {
-        let ValueSource::Connection { mut connection, end, end_sender } = self.source else { return Ok(()) };
+        let ValueSource::Connection { mut connection, written_at, end, end_sender } = self.source else {
+            return Ok(());
+        };
         let is_complete = match read_end(&mut connection, end, self.time_left).await {
             Ok(is_complete) => is_complete,
             Err(EndError::Io(error)) => return Err(error),
@@ -179,6 +183,7 @@
             // An idle connection must not keep a large buffer.
             connection.buffer = BytesMut::from(&connection.buffer[..]);
         }
+        connection.record_response(written_at);
         let _ = end_sender.send(StreamEnd::Complete(is_complete.then_some(connection)));
         Ok(())
     }
--- a/crates/upstream/tests/responses.rs
+++ b/crates/upstream/tests/responses.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use upstream::connection::{AttemptResult, ConnectionSource, StreamedValue};
+use upstream::connection::{AttemptResult, ConnectionSource, REST_PERIOD, StreamedValue};
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum EndpointAction {
@@ -346,6 +346,7 @@
     if extra == ExtraBytes::WhileIdle {
         remote.write_all(VALUE.as_bytes()).unwrap();
     }
+    advance_paused(REST_PERIOD).await;
     let source = fake.pools.check_out(&fake.endpoint);
     assert_eq!(matches!(source, ConnectionSource::Idle(_)), extra == ExtraBytes::AfterCheckOut);
     if extra == ExtraBytes::AfterCheckOut {
@@ -366,3 +367,104 @@
     let result = run.await;
     assert_eq!((result.outcome, &result.value[..]), (Outcome::Ok, &b"w"[..]));
 }
+
+/// Runs an attempt on a connection from the pool, answers it with `response` on `remote`, and returns the connection to
+/// the pool.
+async fn answer_attempt(
+    fake: &mut FakeEndpoint, source: ConnectionSource, remote: &mut TcpStream, response: &str,
+) -> AttemptResult {
+    let (_keep, cancelled) = oneshot::channel();
+    let mut run = pin!(fake.attempt(source, None, Instant::now() + LONG_TIMEOUT).run(cancelled, |_| ()));
+    poll_until_blocked(&mut run).await;
+    remote.write_all(response.as_bytes()).unwrap();
+    let mut result = run.await;
+    fake.pools.check_in(&fake.endpoint, result.connection.take());
+    result
+}
+
+/// Guards against a late second copy of a response that is read as the next response: the connection was reused at once.
+/// A connection rests after a response, and is closed if bytes arrive meanwhile.
+#[rstest]
+#[case("m", VALUE)]
+#[case("m", "-BUSY\r\n")]
+#[case("origin", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")]
+#[case("origin", "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")]
+#[tokio::test]
+async fn connection_is_reused_only_after_its_rest_period(
+    #[case] flavor: &str, #[case] response: &str, #[values(false, true)] late_copy: bool,
+) {
+    let mut fake = FakeEndpoint::new(flavor);
+    let (source, remote) = fake.idle_connection().await;
+    let mut remote = remote.unwrap();
+    let responded_at = Instant::now();
+    let first = answer_attempt(&mut fake, source, &mut remote, response).await;
+    assert!(!first.doubtful, "the connection had carried no response before");
+    let source = fake.pools.check_out(&fake.endpoint);
+    if responded_at.elapsed() >= REST_PERIOD {
+        return; // the machine was too busy to ask before the end of the rest
+    }
+    assert!(matches!(source, ConnectionSource::Dial(_)));
+    if late_copy {
+        remote.write_all(response.as_bytes()).unwrap();
+    }
+    advance_paused(REST_PERIOD).await;
+    let source = fake.pools.check_out(&fake.endpoint);
+    assert_eq!(matches!(source, ConnectionSource::Idle(_)), !late_copy);
+    assert_eq!(fake.pools.counters().unexpected_input, u64::from(late_copy));
+    if !late_copy {
+        assert!(answer_attempt(&mut fake, source, &mut remote, response).await.doubtful);
+    }
+}
+
+/// Guards against a new connection for a request that follows closely at a slow endpoint, which costs the endpoint work:
+/// the request waits until the connection has rested, and is sent on another one if a late second copy arrives.
+#[rstest]
+#[tokio::test]
+async fn request_waits_until_connection_to_slow_endpoint_has_rested(#[values(false, true)] late_copy: bool) {
+    let mut fake = FakeEndpoint::new("m");
+    let (source, remote) = fake.idle_connection().await;
+    let (_keep, cancelled) = oneshot::channel();
+    let mut run = pin!(fake.attempt(source, None, Instant::now() + LONG_TIMEOUT).run(cancelled, |_| ()));
+    poll_until_blocked(&mut run).await;
+    advance_paused(2 * REST_PERIOD).await;
+    let mut remote = remote.unwrap();
+    remote.write_all(VALUE.as_bytes()).unwrap();
+    fake.pools.check_in(&fake.endpoint, run.await.connection);
+
+    let source = fake.pools.check_out(&fake.endpoint);
+    let (_keep, cancelled) = oneshot::channel();
+    let attempt = fake.attempt(source, None, Instant::now() + LONG_TIMEOUT);
+    let written_count = attempt.written_count.clone();
+    let mut run = pin!(attempt.run(cancelled, |_| ()));
+    poll_until_blocked(&mut run).await;
+    assert_eq!(written_count.get(), 0, "the connection rests");
+    if late_copy {
+        remote.write_all(VALUE.as_bytes()).unwrap();
+    }
+    advance_paused(REST_PERIOD).await;
+    while written_count.get() == 0 {
+        poll_until_blocked(&mut run).await;
+        tokio::task::yield_now().await;
+    }
+    let mut used = if late_copy { fake.listener.accept().unwrap().0 } else { remote };
+    used.write_all(VALUE.replace('v', "w").as_bytes()).unwrap();
+    let result = run.await;
+    assert_eq!((result.outcome, &result.value[..]), (Outcome::Ok, &b"w"[..]));
+}
+
+/// Guards against a non-idempotent request on a connection that has carried a response: a late second copy could say
+/// that the request was declined. The pool does not grow by such requests.
+#[tokio::test]
+async fn unused_connection_replaces_one_that_carried_a_response() {
+    let mut fake = FakeEndpoint::new("origin");
+    let (source, remote) = fake.idle_connection().await;
+    answer_attempt(&mut fake, source, &mut remote.unwrap(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .await;
+    advance_paused(REST_PERIOD).await;
+    let source = fake.pools.check_out_unused(&fake.endpoint);
+    assert!(matches!(source, ConnectionSource::Dial(_)));
+    assert_eq!(fake.pools.open_connections(), 1);
+    drop(source);
+    let (unused, _remote) = fake.idle_connection().await;
+    assert!(matches!(unused, ConnectionSource::Idle(_)), "a connection without a response may be used");
+}
