Free the buffers of idle connections, which brought the process over its memory limit

Cause: the input buffer grows to the whole command, whose words are slices of it. A command that is answered at once drops them before the next read, which makes the buffer the connection's again; the reservation for the value has ended by then, so that nothing bounds how many idle connections keep one. The allocator is not to blame: with the buffer replaced, the memory of the same writes is freed.

Change: an input buffer that has held more than 4 KiB is replaced after the command by one with the rest of the input.

--- a/crates/front/src/client/commands.rs
+++ b/crates/front/src/client/commands.rs
@@ -19,6 +19,7 @@
     /// Handles input that was just read: records its arrival, skips bytes to discard, and decodes commands.
     pub(super) fn handle_input(&mut self) {
         self.input_age = self.latest_input_age();
+        self.most_input = self.most_input.max(self.input.len());
         self.last_input_at = Some(Instant::now());
         self.pipelines |= !self.replies.is_empty();
         if self.value_deadline.is_some() {
@@ -30,6 +31,7 @@
             self.bytes_to_skip -= skipped;
             if self.bytes_to_skip == 0 {
                 self.clear_command_timers();
+                self.release_input_buffer();
             }
         }
         self.decode_commands();
@@ -105,6 +107,7 @@
             let memory = if let Ok(Some(_)) = decoded {
                 self.clear_command_timers();
                 self.report_state(ReportedState::Busy);
+                self.release_input_buffer();
                 self.value_permit.take()
             } else {
                 None
--- a/crates/front/src/client/connection.rs
+++ b/crates/front/src/client/connection.rs
@@ -19,6 +19,8 @@
 pub(super) const MAX_PENDING_REPLIES: usize = 32;
 /// The initial capacity of the input buffer.
 const INPUT_BYTES: usize = 1024;
+/// An input buffer that has held more than this is replaced after the command.
+const MAX_KEPT_INPUT_BYTES: usize = 4 * 1024;
 
 /// A connection that was just accepted.
 pub(crate) struct AcceptedConnection {
@@ -51,6 +53,8 @@
     pub(super) stream: TcpStream,
     pub(super) id: ConnectionId,
     pub(super) input: BytesMut,
+    /// The most bytes that the input buffer has held.
+    pub(super) most_input: usize,
     pub(super) replies: VecDeque<Reply>,
     /// Whether the connection ends once its replies are written.
     pub(super) is_ending: bool,
@@ -105,6 +109,7 @@
             front,
             stream: accepted.stream,
             input: BytesMut::with_capacity(INPUT_BYTES),
+            most_input: 0,
             replies: VecDeque::new(),
             is_ending: false,
             has_client_closed: false,
@@ -132,6 +137,18 @@
         !self.input.is_empty() || self.bytes_to_skip > 0
     }
 
+    /// Replaces an input buffer that has grown by a new one with the rest of its input. The old buffer is freed with the
+    /// commands in it, whose memory is accounted; the connection must not keep it.
+    pub(super) fn release_input_buffer(&mut self) {
+        if self.most_input <= MAX_KEPT_INPUT_BYTES {
+            return;
+        }
+        let mut input = BytesMut::with_capacity(INPUT_BYTES.max(self.input.len()));
+        input.extend_from_slice(&self.input);
+        self.most_input = input.len();
+        self.input = input;
+    }
+
     /// Clears the timers of the wait for a command.
     pub(super) fn clear_command_timers(&mut self) {
         self.command_awaited_since = None;
--- a/crates/front/src/client/serve.rs
+++ b/crates/front/src/client/serve.rs
@@ -69,7 +69,7 @@
         self.collect_ready_replies(batch);
         if !batch.is_empty() {
             write_all(&self.stream, batch).await?;
-            batch.clear();
+            *batch = BytesMut::new(); // an idle connection must not keep the buffer of its answers
             return Ok(true);
         }
         if let Some(Reply::Streamed(_)) = self.replies.front() {
--- a/crates/spindlebeam/tests/values.rs
+++ b/crates/spindlebeam/tests/values.rs
@@ -2,6 +2,7 @@
 
 mod platform;
 use platform::*;
+use rstest::rstest;
 use std::io::Read;
 
 /// Generates a value in which misplaced pieces are noticed: its characters depend on their positions, and no part looks
@@ -156,6 +157,60 @@
     assert_eq!(client.read_answer(), "otra vez");
 }
 
+/// What many clients do before they stay connected without a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum ClientAction {
+    /// Write a large value under the id of an open request.
+    WriteLargeUnderOpenId,
+    /// Write a value of almost 64 KiB under the id of an open request.
+    WriteMediumUnderOpenId,
+    /// Read a value of almost 64 KiB.
+    ReadMedium,
+}
+
+const MEMORY_LIMIT_MB: u64 = 32;
+const MEDIUM_BYTES: usize = 60_000;
+
+fn encode_write(id: &str, value: &str) -> String {
+    let options = "c=alta,t=acme,d=60000,k=5c0f";
+    let words = ["CACHE.SET", "7f", id, options, value];
+    let words: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+    format!("*5\r\n{words}")
+}
+
+/// Guards against a balancer that goes over its memory by buffers that idle client connections keep: the input buffer
+/// with a value whose command was answered at once, or the buffer of written answers.
+#[rstest]
+#[case(ClientAction::WriteLargeUnderOpenId, 12)]
+#[case(ClientAction::WriteMediumUnderOpenId, 500)]
+#[case(ClientAction::ReadMedium, 500)]
+fn idle_clients_keep_no_large_buffers(#[case] action: ClientAction, #[case] clients: usize) {
+    let platform = Platform::with_limits(1, MEMORY_LIMIT_MB, 1024, 1024);
+    let mut usual = platform.balancer.client();
+    usual.write_raw(encode_write("aa", "corto").as_bytes());
+    let open = platform.origin.next_request();
+    let value =
+        generate_value(if action == ClientAction::WriteLargeUnderOpenId { 4 << 20 } else { MEDIUM_BYTES });
+    let command = encode_write("aa", &value);
+    let mut idle = Vec::new();
+    for _ in 0..clients {
+        let mut client = platform.balancer.client();
+        if action == ClientAction::ReadMedium {
+            client.get("leer", "1");
+            platform.peers[0].next_request().respond_value(&value);
+            assert!(client.read_answer() == value);
+        } else {
+            client.write_raw(command.as_bytes());
+            assert_eq!(client.read_answer(), "-ERR a request with this id is open");
+        }
+        idle.push(client);
+    }
+    let kb = platform.balancer.resident_kb();
+    assert!(kb < MEMORY_LIMIT_MB * 1024, "{kb} KB with {} idle clients", idle.len());
+    open.respond_http("200 OK", "recibo");
+    assert_eq!(usual.read_answer(), "recibo");
+}
+
 #[test]
 fn large_write_is_forwarded_and_too_large_one_is_skipped() {
     let platform = Platform::with_limits(1, 12, 1024, 1024); // leaves 2 MiB for values
--- a/crates/upstream/src/connection/pools.rs
+++ b/crates/upstream/src/connection/pools.rs
@@ -176,10 +176,11 @@
     /// Returns the connection of an attempt to the pool; `None` if it was closed or could not be opened. The connection
     /// is kept if the endpoint is ready and has sent nothing after its response.
     pub fn check_in(&mut self, endpoint: &Endpoint, connection: Option<Connection>) {
-        let Some(connection) = connection.filter(|_| endpoint.is_ready()) else {
+        let Some(mut connection) = connection.filter(|_| endpoint.is_ready()) else {
             self.counters.not_reusable += 1;
             return;
         };
+        connection.release_buffer();
         match connection.check_no_input() {
             Ok(()) => {
                 let idle = IdleConnection { since: Instant::now(), connection };
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -4,7 +4,6 @@
 use super::socket::Connection;
 use proto::ProtoError;
 use proto::resp::ReplyTail;
-use tokio::io::AsyncReadExt;
 
 /// Why a response is unusable.
 #[derive(Debug)]
@@ -66,7 +65,7 @@
 
 /// Reads bytes into the connection's buffer, or the end of the connection.
 pub(super) async fn read_or_end(connection: &mut Connection) -> Result<ReadOutcome, ResponseError> {
-    match connection.stream.read_buf(&mut connection.buffer).await {
+    match connection.read().await {
         Ok(0) => Ok(ReadOutcome::End),
         Ok(_) => Ok(ReadOutcome::Bytes),
         Err(_) => Err(ResponseError::Reset),
--- a/crates/upstream/src/connection/socket.rs
+++ b/crates/upstream/src/connection/socket.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -16,6 +17,11 @@
 /// before the next request is written.
 pub const REST_PERIOD: Duration = Duration::from_millis(20);
 
+/// The initial capacity of the buffer for responses.
+const RESPONSE_BYTES: usize = 1024;
+/// A response buffer that has held more than this is replaced after the response.
+const MAX_KEPT_RESPONSE_BYTES: usize = 4 * 1024;
+
 /// A permit for one open connection. Released when dropped.
 #[derive(Debug)]
 pub struct ConnectionPermit {
@@ -43,6 +49,8 @@
     pub(super) stream: TcpStream,
     /// Received bytes that are not parsed yet.
     pub(super) buffer: BytesMut,
+    /// The most bytes that `buffer` has held.
+    most_buffered: usize,
     permit: ConnectionPermit,
     /// The latest response; `None` if there was none.
     last_response: Option<LastResponse>,
@@ -58,7 +66,25 @@
 impl Connection {
     /// Creates a connection with an empty buffer.
     pub(super) fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
-        Self { stream, buffer: BytesMut::new(), permit, last_response: None }
+        Self { stream, buffer: BytesMut::new(), most_buffered: 0, permit, last_response: None }
+    }
+
+    /// Reads once into the buffer. Returns the number of bytes; 0 at the end of the connection.
+    pub(super) async fn read(&mut self) -> std::io::Result<usize> {
+        if self.buffer.is_empty() {
+            self.buffer.reserve(RESPONSE_BYTES);
+        }
+        let bytes = self.stream.read_buf(&mut self.buffer).await?;
+        self.most_buffered = self.most_buffered.max(self.buffer.len());
+        Ok(bytes)
+    }
+
+    /// Replaces a buffer that has grown by one with the rest of its bytes, so that an idle connection does not keep it.
+    pub(super) fn release_buffer(&mut self) {
+        if self.most_buffered > MAX_KEPT_RESPONSE_BYTES {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+            self.most_buffered = self.buffer.len();
+        }
     }
 
     /// Records that the response to a request written at `written_at` was read completely.
--- a/crates/upstream/src/connection/streamed.rs
+++ b/crates/upstream/src/connection/streamed.rs
@@ -3,13 +3,12 @@
 use super::response::LargeResponse;
 use super::socket::Connection;
 use crate::memory::MemoryPermit;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
+use proto::ProtoError;
 use proto::resp::{self, ReplyTail};
-use proto::{MAX_BUFFERED_VALUE_BYTES, ProtoError};
 use std::fmt;
 use std::io;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
@@ -179,10 +178,6 @@
                 return Err(io::Error::new(io::ErrorKind::InvalidData, error));
             }
         };
-        if connection.buffer.capacity() > MAX_BUFFERED_VALUE_BYTES {
-            // An idle connection must not keep a large buffer.
-            connection.buffer = BytesMut::from(&connection.buffer[..]);
-        }
         connection.record_response(written_at);
         let _ = end_sender.send(StreamEnd::Complete(is_complete.then_some(connection)));
         Ok(())
@@ -216,8 +211,7 @@
         connection.buffer.reserve(READ_AHEAD);
     }
     let started_at = Instant::now();
-    let reading = connection.stream.read_buf(&mut connection.buffer);
-    let result = timeout(READ_TIMEOUT.min(*time_left), reading).await;
+    let result = timeout(READ_TIMEOUT.min(*time_left), connection.read()).await;
     *time_left = time_left.saturating_sub(started_at.elapsed());
     match result {
         Ok(Ok(0)) => Err(io::ErrorKind::UnexpectedEof.into()),
