Copy the id of an open request, which kept the value of its command in memory

A client that wrote 4 MiB values behind a slow request of its connection kept each of them in memory after its request had ended and its reservation was given back: 12 of them took 60,596 KB where 32 MB are allowed.

Cause: the ticket and the set of open ids hold the id as a slice of the command until the answer is written, which waits for the answers before it. Change: the id is copied.

Result: answered_writes_behind_slow_request_keep_no_values failed before (60,596 KB) and passes.

--- a/crates/gateway/src/engine/handle.rs
+++ b/crates/gateway/src/engine/handle.rs
@@ -9,6 +9,7 @@
 use crate::metrics::RequestCounters;
 use crate::setup::Config;
 use crate::stall_monitor::StallMonitor;
+use bytes::Bytes;
 use decide::api::{ClassId, Micros, Reason, RequestId};
 use gossip_transport::GossipTransport;
 use maintenance::{CommandOutcome, OverrideCommand, OverrideError};
@@ -83,7 +84,8 @@
     /// origin identify requests by this id, and could execute the other request twice.
     #[must_use]
     pub fn submit(&self, incoming: IncomingRequest) -> Option<Ticket> {
-        let client_id = incoming.call.id.clone();
+        // A copy: a slice of the command would keep its value in memory until the answer is written.
+        let client_id = Bytes::copy_from_slice(&incoming.call.id);
         if !self.open_requests.reserve_id(client_id.clone()) {
             return None;
         }
--- a/crates/spindlebeam/tests/values.rs
+++ b/crates/spindlebeam/tests/values.rs
@@ -3,6 +3,7 @@
 mod platform;
 use platform::*;
 use rstest::rstest;
+use serde_json::json;
 use std::io::Read;
 
 /// Generates a value in which misplaced pieces are noticed: its characters depend on their positions, and no part looks
@@ -211,6 +212,30 @@
     assert_eq!(usual.read_answer(), "recibo");
 }
 
+/// Guards against values that stay in memory without a reservation: the id of an answered write was a slice of its
+/// command, and waited with its answer behind an earlier request of the connection.
+#[test]
+fn answered_writes_behind_slow_request_keep_no_values() {
+    let platform = Platform::with_config(1, 1024, |config| {
+        config["limits"] = json!({"memory_mb": MEMORY_LIMIT_MB, "sockets": 1024});
+        config["operator"] = "127.0.0.1:0".into();
+    });
+    let mut client = platform.balancer.client();
+    client.get("leer", "1");
+    let read = platform.peers[0].next_request();
+    let value = generate_value(4 << 20);
+    for n in 0..12 {
+        client.write_raw(encode_write(&format!("{n:x}"), &value).as_bytes());
+        platform.origin.next_request().respond_http("200 OK", "recibo");
+        wait_until(|| platform.metric("served.alta") > n); // the reservation of the value has ended
+    }
+    let kb = platform.balancer.resident_kb();
+    assert!(kb < MEMORY_LIMIT_MB * 1024, "{kb} KB with 12 answered writes");
+    read.respond_value("v");
+    assert_eq!(client.read_answer(), "v");
+    (0..12).for_each(|_| assert_eq!(client.read_answer(), "recibo"));
+}
+
 #[test]
 fn large_write_is_forwarded_and_too_large_one_is_skipped() {
     let platform = Platform::with_limits(1, 12, 1024, 1024); // leaves 2 MiB for values
