Judge by recent responses whether a resting connection is worth the wait

Cause: a cache miss is quick at a node whose other responses are slow, so that the request behind it was given a new connection, which costs the node work. Change: the latency of a connection is the latest one, or half of the one before if that is more.

--- a/crates/upstream/src/connection/socket.rs
+++ b/crates/upstream/src/connection/socket.rs
@@ -56,10 +56,11 @@
     last_response: Option<LastResponse>,
 }
 
-/// When the latest response on a connection was complete, and how long it took.
+/// When the latest response on a connection was complete, and how long recent responses took.
 #[derive(Debug, Clone, Copy)]
 struct LastResponse {
     completed_at: Instant,
+    /// The maximum of the latest latency and half of the previous value: a cache miss among slow responses is quick.
     latency: Duration,
 }
 
@@ -90,7 +91,8 @@
     /// Records that the response to a request written at `written_at` was read completely.
     pub(super) fn record_response(&mut self, written_at: Instant) {
         let completed_at = Instant::now();
-        let latency = completed_at.saturating_duration_since(written_at);
+        let previous = self.last_response.map_or(Duration::ZERO, |response| response.latency);
+        let latency = completed_at.saturating_duration_since(written_at).max(previous / 2);
         self.last_response = Some(LastResponse { completed_at, latency });
     }
 
