--- a/review/standins-2/slow-head.rs
+++ b/review/standins-2/slow-head.rs
@@ -42,7 +42,7 @@
     };
     let balancer = Balancer::start(&setup, discovery_address);
     let started = Instant::now();
-    let totals = Arc::new(Mutex::new([0_u64; 4])); // answered, ended before the last byte, sent once more and answered, lost
+    let totals = Arc::new(Mutex::new([0_u64; 5])); // answered, ended early, sent once more and answered, sent once more and ended early, lost
     let requests = Arc::new(AtomicU64::new(0));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
@@ -78,10 +78,10 @@
     for client in clients {
         let _ = client.join();
     }
-    let [answered, early, again, lost] = *totals.lock().unwrap();
+    let [answered, early, again, again_early, lost] = *totals.lock().unwrap();
     say(&format!(
         "slow requests: {answered} answered, {early} whose connection ended before the last byte, {again} sent once more and \
-         answered, {lost} LOST"
+         answered, {again_early} sent once more and ended before the last byte, {lost} LOST"
     ));
     if answered + lost < 10 {
         finish(balancer, COULD_NOT_RUN);
@@ -108,7 +108,7 @@
 
 fn run_client(
     client: u64, source: [u8; 4], address: std::net::SocketAddr, random: &mut Random, started: Instant,
-    totals: &Mutex<[u64; 4]>, requests: &AtomicU64,
+    totals: &Mutex<[u64; 5]>, requests: &AtomicU64,
 ) {
     let Ok(mut stream) = connect_from(source, address) else { return sleep_ms(50) };
     let _ = stream.set_nodelay(true);
@@ -143,8 +143,9 @@
                     });
                     note(&format!("client {client}: {id}: once more: {once_more:?}"));
                     match once_more {
-                        Some((true, Answer::Ended { .. })) => 3,
-                        _ => 2,
+                        Some((true, Answer::Ended { .. })) => 4,
+                        Some((true, _)) => 2,
+                        _ => 3,
                     }
                 }
                 answer => {
