Answer requests behind a large value that breaks off, or leave them unread

RESP states the length first: after its first byte nothing but the value can follow.

Change: nothing has been read behind a value that is passed on as it comes. Behind requests of a class that is usually answered with large values nothing is read until they are answered; where something was read all the same, the value is read whole into reserved memory first, and its request fails if it is not whole at its deadline.

--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -3,6 +3,7 @@
 mod closing;
 mod commands;
 mod connection;
+mod lookahead;
 mod reply;
 mod serve;
 mod socket;
--- a/crates/front/src/client/closing.rs
+++ b/crates/front/src/client/closing.rs
@@ -1,6 +1,7 @@
 //! Closes client connections without losing a reply, or a command in transit, unnoticed.
 
-use super::connection::{Client, MAX_PENDING_REPLIES, ReportedState};
+use super::connection::{Client, ReportedState};
+use super::lookahead::try_read;
 use super::socket::wait_for_client_close;
 use bytes::BytesMut;
 use std::io;
@@ -50,7 +51,7 @@
     /// Reads once, without waiting, and handles what was read. Returns whether input had arrived.
     pub(super) async fn read_available_input(&mut self) -> io::Result<bool> {
         yield_now().await; // lets the runtime poll its sockets first
-        match self.stream.try_read_buf(&mut self.input) {
+        match try_read(&self.stream, &mut self.input, &self.front) {
             Ok(0) => Ok(false),
             Ok(_) => {
                 self.handle_input();
@@ -66,8 +67,7 @@
     pub(super) async fn read_final_input(&mut self) -> io::Result<()> {
         self.has_read_final_input = true;
         for _ in 0..MAX_FINAL_READS {
-            let has_room = !self.is_ending && self.replies.len() < MAX_PENDING_REPLIES;
-            if !has_room || !self.read_available_input().await? {
+            if !self.accepts_commands() || !self.read_available_input().await? {
                 break;
             }
         }
--- a/crates/front/src/client/commands.rs
+++ b/crates/front/src/client/commands.rs
@@ -1,6 +1,6 @@
 //! Decodes the commands in the input of a connection and creates a reply to each.
 
-use super::connection::{Client, MAX_PENDING_REPLIES, ReportedState};
+use super::connection::{Client, ReportedState};
 use super::reply::{BUSY, Reply};
 use crate::request::{self, ParsedCommand};
 use crate::shutdown::Stage;
@@ -99,7 +99,7 @@
     /// Decodes the complete commands in the input, up to the limit of pending replies.
     pub(super) fn decode_commands(&mut self) {
         let stage = self.schedule().stage_now();
-        while !self.is_ending && self.replies.len() < MAX_PENDING_REPLIES {
+        while self.accepts_commands() {
             let decoded = match self.value_permit {
                 Some(_) => resp::decode_large_command(&mut self.input),
                 None => resp::decode_command(&mut self.input),
@@ -132,6 +132,7 @@
             }
             ParsedCommand::Request(mut incoming) => {
                 incoming.memory = memory;
+                self.awaits_large_answer = self.front.handle.expects_large_answer(incoming.class);
                 match self.front.handle.submit(incoming) {
                     Some(ticket) => Reply::Pending(ticket),
                     None => Reply::line("-ERR a request with this id is open\r\n"),
--- a/crates/front/src/client/connection.rs
+++ b/crates/front/src/client/connection.rs
@@ -56,6 +56,9 @@
     /// The most bytes that the input buffer has held.
     pub(super) most_input: usize,
     pub(super) replies: VecDeque<Reply>,
+    /// Whether the last reply is expected to be a large value. Nothing is read or decoded behind its command until it
+    /// is written: if it breaks off while it is forwarded, what has been read behind it would never be answered.
+    pub(super) awaits_large_answer: bool,
     /// Whether the connection ends once its replies are written.
     pub(super) is_ending: bool,
     /// Whether the client has closed its sending side.
@@ -111,6 +114,7 @@
             input: BytesMut::with_capacity(INPUT_BYTES),
             most_input: 0,
             replies: VecDeque::new(),
+            awaits_large_answer: false,
             is_ending: false,
             has_client_closed: false,
             command_awaited_since: Some(now),
@@ -132,6 +136,11 @@
         }
     }
 
+    /// Returns whether a further command may be read and decoded.
+    pub(super) fn accepts_commands(&self) -> bool {
+        !self.is_ending && !self.awaits_large_answer && self.replies.len() < MAX_PENDING_REPLIES
+    }
+
     /// Whether part of a command has arrived.
     pub(super) fn has_partial_command(&self) -> bool {
         !self.input.is_empty() || self.bytes_to_skip > 0
--- a/crates/front/src/client/serve.rs
+++ b/crates/front/src/client/serve.rs
@@ -2,12 +2,13 @@
 //! ends.
 
 use super::closing::CloseReason;
-use super::connection::{Client, MAX_PENDING_REPLIES, ReportedState};
+use super::connection::{Client, ReportedState};
 use super::reply::{BUSY, Reply, next_answer};
 use super::socket::{ClientEvent, ReadMode, read_or_watch, wait_for_client_close, write_all};
 use crate::shutdown::{Schedule, Stage};
 use bytes::BytesMut;
 use futures_util::FutureExt;
+use gateway::{Answer, StreamedValue};
 use proto::resp;
 use std::io;
 use tokio::task::yield_now;
@@ -72,11 +73,23 @@
             *batch = BytesMut::new(); // an idle connection must not keep the buffer of its answers
             return Ok(true);
         }
-        if let Some(Reply::Streamed(_)) = self.replies.front() {
-            self.stream_value().await?;
-            return Ok(true);
+        match self.replies.pop_front() {
+            Some(Reply::Streamed(value)) if value.is_complete() || !self.has_read_further_input() => {
+                self.stream_value(*value).await?;
+                Ok(true)
+            }
+            // If the value broke off while it is forwarded, only the end of the connection could follow, and what was
+            // read behind it would never be answered.
+            Some(Reply::Streamed(value)) => {
+                let budget = self.front.handle.memory_budget().clone();
+                self.replies.push_front(Reply::buffering(*value, budget));
+                Ok(false)
+            }
+            other => {
+                other.into_iter().for_each(|reply| self.replies.push_front(reply));
+                Ok(false)
+            }
         }
-        Ok(false)
     }
 
     /// Waits for the next event and returns the next step.
@@ -161,7 +174,7 @@
                 // Only an answer during a shutdown counts: after it, an idle connection may close at once.
                 self.last_answered_at = self.front.shutdown().is_closing().then(Instant::now);
             }
-            event = read_or_watch(&mut self.stream, &mut self.input, mode) => match event? {
+            event = read_or_watch(&mut self.stream, &mut self.input, &self.front, mode) => match event? {
                 ClientEvent::Input => self.handle_input(),
                 ClientEvent::Closed => self.has_client_closed = true,
                 // The unread bytes count as an open request, so the connection must not wait for answers any longer.
@@ -178,7 +191,7 @@
     /// Returns what is awaited on the socket: input while commands are read; otherwise the close by the client and,
     /// from [`Stage::Abandoning`] on, also the arrival of input, at which pending requests fail.
     fn read_mode(&self, stage: Stage) -> ReadMode {
-        if !self.is_ending && self.replies.len() < MAX_PENDING_REPLIES && stage < Stage::Finishing {
+        if self.accepts_commands() && stage < Stage::Finishing {
             ReadMode::Read
         } else if stage >= Stage::Abandoning {
             ReadMode::WatchForInput
@@ -202,7 +215,8 @@
                     None => break,
                 }
             }
-            // Decodes commands that the limit of replies held back; otherwise they would wait for more input.
+            self.awaits_large_answer &= !self.replies.is_empty();
+            // Decodes commands that were held back; otherwise they would wait for more input.
             let reply_count = self.replies.len();
             self.decode_commands();
             if self.replies.len() == reply_count {
@@ -215,11 +229,9 @@
     /// but is no longer read; without a reply, the command would be lost with the connection. Returns whether there was
     /// one.
     fn reject_partial_command(&mut self) -> bool {
-        // At the limit of replies the input may hold complete commands, which are decoded as replies are
-        // written.
-        let may_hold_complete_commands = self.replies.len() >= MAX_PENDING_REPLIES;
-        // Bytes to skip belong to a value whose command was already rejected.
-        if self.is_ending || may_hold_complete_commands || self.input.is_empty() || self.bytes_to_skip > 0 {
+        // The input may hold complete commands that are held back, which are decoded as replies are written. Bytes to
+        // skip belong to a value whose command was already rejected.
+        if !self.accepts_commands() || self.input.is_empty() || self.bytes_to_skip > 0 {
             return false;
         }
         self.value_permit = None;
@@ -233,17 +245,28 @@
     /// pending requests are answered as failed.
     fn fail_pending_replies(&mut self) {
         for reply in &mut self.replies {
-            if let Reply::Pending(ticket) = reply {
-                let answer = ticket.now_or_never().unwrap_or_else(|| ticket.abandon());
-                *reply = Reply::encode(answer);
+            match reply {
+                Reply::Pending(ticket) => {
+                    let answer = ticket.now_or_never().unwrap_or_else(|| ticket.abandon());
+                    *reply = Reply::encode(answer);
+                }
+                Reply::Buffering(value) => {
+                    *reply = Reply::encode(value.now_or_never().unwrap_or(Answer::Failed));
+                }
+                Reply::Ready(_) | Reply::Streamed(_) => {}
             }
         }
     }
 
+    /// Returns whether input has been read beyond the command of the reply that was taken last: further commands, or
+    /// part of one.
+    fn has_read_further_input(&self) -> bool {
+        !self.replies.is_empty() || self.has_partial_command()
+    }
+
     /// Forwards a large value as it arrives. The line end is written only when the value is known to be complete. If it
     /// is not, the connection ends; the client detects this by the length in the header and the missing line end.
-    async fn stream_value(&mut self) -> io::Result<()> {
-        let Some(Reply::Streamed(mut streamed)) = self.replies.pop_front() else { return Ok(()) };
+    async fn stream_value(&mut self, mut streamed: StreamedValue) -> io::Result<()> {
         let mut header = BytesMut::with_capacity(BULK_HEADER_CAPACITY);
         resp::encode_bulk_header(&mut header, streamed.length());
         write_all(&self.stream, &header).await?;
--- a/crates/front/src/client/socket.rs
+++ b/crates/front/src/client/socket.rs
@@ -1,10 +1,12 @@
 //! Reads and writes a client's socket, and detects that the client has closed its sending side.
 
+use super::lookahead::read;
+use crate::front::Front;
 use bytes::BytesMut;
 use futures_util::FutureExt;
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, Interest, Ready};
+use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -51,10 +53,10 @@
 
 /// Reads into `input`, or waits for the events of `mode` without reading.
 pub(super) async fn read_or_watch(
-    stream: &mut TcpStream, input: &mut BytesMut, mode: ReadMode,
+    stream: &mut TcpStream, input: &mut BytesMut, front: &Front, mode: ReadMode,
 ) -> io::Result<ClientEvent> {
     if mode == ReadMode::Read {
-        let read = stream.read_buf(input).await?;
+        let read = read(stream, input, front).await?;
         return Ok(if read == 0 { ClientEvent::Closed } else { ClientEvent::Input });
     }
     while !has_client_closed(stream) {
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -75,6 +75,15 @@
     }
 }
 
+/// Returns the class that a command states, if it is a valid request.
+#[must_use]
+pub(crate) fn class_of(command: &Command, names: &Names) -> Option<ClassId> {
+    match parse(command, names, Instant::now()) {
+        ParsedCommand::Request(incoming) => Some(incoming.class),
+        _ => None,
+    }
+}
+
 fn parse_request(command: &Command, words: usize, names: &Names, received: Instant) -> ParsedCommand {
     match build_request(command, words, names, received) {
         Ok(incoming) => ParsedCommand::Request(incoming),
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -3,6 +3,7 @@
 //! The engine has no client sockets: a front submits a request through a [`Handle`] and gets a [`Ticket`]. `phases`
 //! contains the handlers of each wake. Each of the other modules owns one part of the engine's state.
 
+mod answer_sizes;
 mod fleet;
 mod gossip;
 mod handle;
--- a/crates/gateway/src/engine/handle.rs
+++ b/crates/gateway/src/engine/handle.rs
@@ -1,6 +1,7 @@
 //! The handle to the engine: fronts submit requests, discovery publishes watch events, and the admin endpoint sends
 //! commands.
 
+use super::answer_sizes::AnswerSizes;
 use super::input::{AnswerSlot, DiscoveryInput, IncomingRequest, Input, OperatorInput};
 use super::open_requests::OpenRequests;
 use super::overrides::OVERRIDES_FILE;
@@ -44,6 +45,7 @@
     pub(super) open_requests: Rc<OpenRequests>,
     pub(super) counters: Rc<RefCell<RequestCounters>>,
     pub(super) budget: MemoryBudget,
+    pub(super) answer_sizes: Rc<AnswerSizes>,
     pub(super) ready: Rc<watch::Sender<bool>>,
     pub(super) draining: Rc<watch::Sender<bool>>,
     fleet: Rc<OnceCell<FleetState>>,
@@ -73,6 +75,7 @@
             open_requests: Rc::new(OpenRequests::new(&config.bounds)),
             counters: Rc::new(RefCell::new(RequestCounters::new(config.settings.classes.len()))),
             budget: MemoryBudget::new(config.bounds.held_bytes),
+            answer_sizes: Rc::new(AnswerSizes::new(config.settings.classes.len())),
             ready: Rc::default(),
             draining: Rc::default(),
             fleet: Rc::default(),
@@ -112,6 +115,24 @@
         self.budget.reserve(bytes)
     }
 
+    /// Returns whether a large value is expected as the answer to a request of this class.
+    #[must_use]
+    pub fn expects_large_answer(&self, class: ClassId) -> bool {
+        self.answer_sizes.expects_large(class)
+    }
+
+    /// Returns whether a large value is expected as the answer to requests of any class.
+    #[must_use]
+    pub fn expects_large_answers(&self) -> bool {
+        self.answer_sizes.expects_any_large()
+    }
+
+    /// Returns the memory budget for values that must be buffered completely.
+    #[must_use]
+    pub fn memory_budget(&self) -> &MemoryBudget {
+        &self.budget
+    }
+
     /// Counts a request that its front rejected because the memory budget was exhausted.
     pub fn count_out_of_memory(&self, class: ClassId) {
         self.counters.borrow_mut().count_rejected_before_routing(class, Reason::NoCapacity);
--- a/crates/gateway/src/engine/phases/attempts.rs
+++ b/crates/gateway/src/engine/phases/attempts.rs
@@ -86,11 +86,13 @@
     /// module as served. If the stream fails later, the request is not retried. A slow client does not count as a
     /// request in flight.
     pub(in crate::engine) fn handle_streaming(
-        &mut self, attempt: &InFlightAttempt, value: Box<StreamedValue>,
+        &mut self, attempt: &InFlightAttempt, mut value: Box<StreamedValue>,
     ) {
         let id = attempt.request;
         let Some(context) = self.requests.get_mut(&id) else { return };
         context.is_streaming = true;
+        value.set_deadline(context.deadline);
+        self.handle.answer_sizes.record(context.class, true);
         self.handle.open_requests.record_answer_size(value.read_ahead_bytes());
         self.send_answer(id, Answer::Streamed(value));
         self.events.push_back(Event::Outcome {
@@ -127,6 +129,9 @@
         let (name, outcome) = (&endpoint.name, result.outcome);
         log::debug!("request {}: attempt {number} at {name}: {outcome:?} in {latency_us} us", id.0);
         if outcome == Outcome::Ok {
+            if let Some(context) = self.requests.get(&id) {
+                self.handle.answer_sizes.record(context.class, result.large.is_some());
+            }
             self.handle.open_requests.record_answer_size(result.value.len());
             let answer = result.large.map_or(Answer::Served(result.value), Answer::Streamed);
             self.send_answer(id, answer);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,4 +16,4 @@
 // Re-exported so that fronts do not depend on the `upstream` crate.
 pub use upstream::call::{Answer, Call};
 pub use upstream::connection::StreamedValue;
-pub use upstream::memory::MemoryPermit;
+pub use upstream::memory::{MemoryBudget, MemoryPermit};
--- a/crates/spindlebeam/tests/platform/client.rs
+++ b/crates/spindlebeam/tests/platform/client.rs
@@ -24,6 +24,14 @@
     bytes
 }
 
+/// The options of a write with an idempotency key.
+pub const WRITE_OPTIONS: &str = "c=alta,t=acme,d=60000,k=5c0f";
+
+/// Encodes a command with these words.
+pub fn encode_command(words: &[&str]) -> Vec<u8> {
+    command(words).to_vec()
+}
+
 /// Encodes a read of the key with a new request id.
 pub fn read_command(key: &str) -> Vec<u8> {
     command(&["CACHE.GET", key, &new_id(), "c=leer,t=acme,d=60000"]).to_vec()
--- a/crates/upstream/src/connection/streamed.rs
+++ b/crates/upstream/src/connection/streamed.rs
@@ -2,8 +2,8 @@
 
 use super::response::LargeResponse;
 use super::socket::Connection;
-use crate::memory::MemoryPermit;
-use bytes::{Buf, Bytes};
+use crate::memory::{MemoryBudget, MemoryPermit};
+use bytes::{Buf, Bytes, BytesMut};
 use proto::ProtoError;
 use proto::resp::{self, ReplyTail};
 use std::fmt;
@@ -32,6 +32,10 @@
     remaining: usize,
     /// The remainder of [`TOTAL_READ_TIMEOUT`].
     time_left: Duration,
+    /// When the head of the response had been read.
+    started_at: Instant,
+    /// How long after `started_at` the request must be answered.
+    time_limit: Duration,
     source: ValueSource,
 }
 
@@ -104,7 +108,41 @@
     }
 
     fn new(length: usize, source: ValueSource) -> Self {
-        Self { length, remaining: length, time_left: TOTAL_READ_TIMEOUT, source }
+        let (started_at, time_limit) = (Instant::now(), Duration::ZERO);
+        Self { length, remaining: length, time_left: TOTAL_READ_TIMEOUT, started_at, time_limit, source }
+    }
+
+    /// Sets the deadline of the request that this value answers.
+    pub fn set_deadline(&mut self, deadline: Instant) {
+        self.time_limit = deadline.saturating_duration_since(self.started_at);
+    }
+
+    /// Returns how long the request could be answered when the value arrived. The time for which the value has waited
+    /// behind earlier answers of its connection does not count.
+    #[must_use]
+    pub fn time_limit(&self) -> Duration {
+        self.time_limit
+    }
+
+    /// Reads the whole value into memory reserved from `budget`, and returns it as a complete one. Waits while the
+    /// budget has too few bytes left.
+    ///
+    /// # Errors
+    /// Returns an error if the value does not arrive whole, or if it is larger than the budget.
+    pub async fn buffer(mut self, budget: &MemoryBudget) -> io::Result<Self> {
+        if self.is_complete() {
+            return Ok(self);
+        }
+        let memory = budget.reserve_when_available(self.length).await.ok_or(io::ErrorKind::OutOfMemory)?;
+        let mut value = BytesMut::with_capacity(self.length);
+        while !self.is_consumed() {
+            let bytes = self.next_chunk().await?;
+            let count = bytes.len();
+            value.extend_from_slice(bytes);
+            self.consume(count);
+        }
+        self.finish().await?;
+        Ok(Self::from_memory(value.freeze(), memory))
     }
 
     /// Returns the length of the value.
