--- a/crates/front/src/client.rs
+++ b/crates/front/src/client.rs
@@ -3,6 +3,7 @@
 mod closing;
 mod commands;
 mod connection;
+mod input;
 mod lookahead;
 mod reply;
 mod serve;
--- a/crates/front/src/client/closing.rs
+++ b/crates/front/src/client/closing.rs
@@ -3,10 +3,10 @@
 use super::connection::{Client, ReportedState};
 use super::lookahead::try_read;
 use super::socket::wait_for_client_close;
-use bytes::BytesMut;
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -105,13 +105,17 @@
         self.report_state(ReportedState::AwaitingCommand);
         self.stream.shutdown().await?;
         let until = self.schedule().linger_until(Instant::now(), MIN_LINGER_PERIOD, LINGER_PERIOD);
-        self.input = BytesMut::with_capacity(LINGER_READ_BYTES);
+        self.input.clear();
         let discard_input = async {
-            while self.stream.read_buf(&mut self.input).await? > 0 {
-                self.input.clear();
-                sleep(LINGER_READ_PAUSE).await;
+            loop {
+                self.stream.readable().await?;
+                match discard_once(&self.stream) {
+                    Ok(0) => return Ok(()),
+                    Ok(_) => sleep(LINGER_READ_PAUSE).await,
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
             }
-            io::Result::Ok(())
         };
         tokio::select! {
             discarded = timeout_at(until, discard_input) => discarded.unwrap_or(Ok(())),
@@ -119,3 +123,9 @@
         }
     }
 }
+
+/// Reads and discards input that has arrived. The connection keeps no buffer for it. Returns the number of bytes; 0 when
+/// the client has closed its sending side.
+fn discard_once(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_read(&mut [0; LINGER_READ_BYTES])
+}
--- a/crates/front/src/client/commands.rs
+++ b/crates/front/src/client/commands.rs
@@ -1,13 +1,15 @@
 //! Decodes the commands in the input of a connection and creates a reply to each.
 
-use super::connection::{Client, ReportedState};
+use super::connection::{Client, PartialCommandSize, ReportedState};
 use super::reply::{BUSY, Reply};
 use crate::request::{self, ParsedCommand};
 use crate::shutdown::Stage;
 use bytes::{Buf, Bytes};
+use decide::api::ClassId;
 use gateway::{MemoryPermit, stall_monitor};
-use proto::resp::Command;
+use proto::resp::{Command, PartialCommand};
 use proto::{ProtoError, resp};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -19,7 +21,6 @@
     /// Handles input that was just read: records its arrival, skips bytes to discard, and decodes commands.
     pub(super) fn handle_input(&mut self) {
         self.input_age = self.latest_input_age();
-        self.most_input = self.most_input.max(self.input.len());
         self.last_input_at = Some(Instant::now());
         self.pipelines |= !self.replies.is_empty();
         if self.value_deadline.is_some() {
@@ -27,11 +28,10 @@
         }
         if self.bytes_to_skip > 0 {
             let skipped = self.bytes_to_skip.min(self.input.len());
-            self.input.advance(skipped);
+            self.input.bytes_mut().advance(skipped);
             self.bytes_to_skip -= skipped;
             if self.bytes_to_skip == 0 {
                 self.clear_command_timers();
-                self.release_input_buffer();
             }
         }
         self.decode_commands();
@@ -52,41 +52,56 @@
         now.checked_sub(self.input_age).unwrap_or(now)
     }
 
-    /// Checks an incomplete command: starts its timers, and reserves memory for a large value before the value is read.
-    /// Returns a reply if the command is rejected.
+    /// Checks an incomplete command: starts its timers, and makes room for the rest of it before that is read. Returns a
+    /// reply if the command is rejected.
     fn check_partial_command(&mut self) -> Option<Reply> {
-        if self.input.is_empty() || self.value_permit.is_some() || self.bytes_to_skip > 0 {
+        if self.input.is_empty() || self.partial_command.is_some() || self.bytes_to_skip > 0 {
             return None;
         }
         self.command_awaited_since.get_or_insert_with(Instant::now);
-        let partial = match resp::parse_partial_command(&self.input) {
-            Ok(partial) => partial?,
-            Err(error) => return Some(self.reject_malformed(error)),
-        };
+        match resp::parse_partial_command(self.input.bytes()) {
+            Ok(None) => self.make_room_for_head(),
+            Ok(Some(partial)) => self.make_room_for_value(partial),
+            Err(error) => Some(self.reject_malformed(error)),
+        }
+    }
+
+    /// Makes room for the words of a command before its last one.
+    fn make_room_for_head(&mut self) -> Option<Reply> {
+        let is_short_of_memory = self.input.is_full()
+            && self.input.ensure_capacity(2 * self.input.len(), &self.front.handle).is_err();
+        // The length of the command is unknown, so the rest of it cannot be skipped.
+        self.is_ending |= is_short_of_memory;
+        is_short_of_memory.then(|| Reply::line(BUSY))
+    }
+
+    /// Makes room for the last word of a command, whose length is known.
+    fn make_room_for_value(&mut self, partial: PartialCommand) -> Option<Reply> {
         let timeout = if partial.large { LARGE_VALUE_TIMEOUT } else { self.command_timeout };
         self.value_deadline.get_or_insert_with(|| Instant::now() + timeout);
-        if !partial.large {
-            return None;
-        }
-        let mut command = partial.words;
-        command.0.push(Bytes::new()); // a placeholder for the value, so that the command can be parsed
-        let ParsedCommand::Request(incoming) =
-            request::parse(&command, &self.front.names, self.received_at())
-        else {
+        if partial.large && self.class_of_partial(&partial).is_none() {
             return Some(self.reject_malformed(ProtoError::TooLong("command"))); // no other command has a large argument
-        };
-        let missing = partial.bytes.saturating_sub(self.input.len());
-        self.value_permit = self.front.handle.reserve_memory(partial.bytes);
-        if self.value_permit.is_some() {
-            self.input.reserve(missing);
+        }
+        if self.input.ensure_capacity(partial.bytes, &self.front.handle).is_ok() {
+            let size = if partial.large { PartialCommandSize::Large } else { PartialCommandSize::Buffered };
+            self.partial_command = Some(size);
             return None;
         }
-        self.front.handle.count_out_of_memory(incoming.class);
+        if let Some(class) = self.class_of_partial(&partial) {
+            self.front.handle.count_out_of_memory(class);
+        }
+        self.bytes_to_skip = partial.bytes.saturating_sub(self.input.len());
         self.input.clear();
-        self.bytes_to_skip = missing;
         Some(Reply::line(BUSY))
     }
 
+    /// Returns the class of an incomplete write.
+    fn class_of_partial(&self, partial: &PartialCommand) -> Option<ClassId> {
+        let mut command = partial.words.clone();
+        command.0.push(Bytes::new()); // a placeholder for the value, so that the command can be parsed
+        request::class_of(&command, &self.front.names)
+    }
+
     /// Returns an error reply to malformed input, after which the connection ends.
     fn reject_malformed(&mut self, error: ProtoError) -> Reply {
         if let Some(suppressed) = self.front.log_throttles.malformed_command.admit_line() {
@@ -100,18 +115,17 @@
     pub(super) fn decode_commands(&mut self) {
         let stage = self.schedule().stage_now();
         while self.accepts_commands() {
-            let decoded = match self.value_permit {
-                Some(_) => resp::decode_large_command(&mut self.input),
-                None => resp::decode_command(&mut self.input),
+            let decoded = match self.partial_command {
+                Some(PartialCommandSize::Large) => resp::decode_large_command(self.input.bytes_mut()),
+                Some(PartialCommandSize::Buffered) | None => resp::decode_command(self.input.bytes_mut()),
             };
-            let memory = if let Ok(Some(_)) = decoded {
+            let memory = self.input.memory();
+            if let Ok(Some(_)) = decoded {
+                self.partial_command = None;
                 self.clear_command_timers();
                 self.report_state(ReportedState::Busy);
-                self.release_input_buffer();
-                self.value_permit.take()
-            } else {
-                None
-            };
+                self.input.release();
+            }
             let reply = match decoded {
                 Ok(None) => match self.check_partial_command() {
                     Some(reply) => reply,
@@ -124,7 +138,7 @@
         }
     }
 
-    fn reply_to(&mut self, command: &Command, memory: Option<MemoryPermit>, stage: Stage) -> Reply {
+    fn reply_to(&mut self, command: &Command, memory: Option<Rc<MemoryPermit>>, stage: Stage) -> Reply {
         match request::parse(command, &self.front.names, self.received_at()) {
             ParsedCommand::Request(incoming) if stage >= Stage::Shedding => {
                 self.front.handle.count_shed(incoming.class);
--- a/crates/front/src/client/connection.rs
+++ b/crates/front/src/client/connection.rs
@@ -1,12 +1,11 @@
 //! The state of a client connection.
 
+use super::input::InputBuffer;
 use super::reply::Reply;
 use crate::front::Front;
 use crate::shutdown::{Activity, Schedule};
 use crate::slotless::SlotlessTimeouts;
 use admission::{CommandTimeout, ConnectionId};
-use bytes::BytesMut;
-use gateway::MemoryPermit;
 use std::collections::VecDeque;
 use std::mem;
 use std::rc::Rc;
@@ -17,10 +16,6 @@
 
 /// The most unanswered commands of one connection; at this number nothing more is read.
 pub(super) const MAX_PENDING_REPLIES: usize = 32;
-/// The initial capacity of the input buffer.
-const INPUT_BYTES: usize = 1024;
-/// An input buffer that has held more than this is replaced after the command.
-const MAX_KEPT_INPUT_BYTES: usize = 4 * 1024;
 
 /// A connection that was just accepted.
 pub(crate) struct AcceptedConnection {
@@ -47,14 +42,21 @@
     Idle,
 }
 
+/// Whether an incomplete command has a large value.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum PartialCommandSize {
+    /// At most the value of a buffered command is missing.
+    Buffered,
+    /// The value is large.
+    Large,
+}
+
 /// One client connection.
 pub(crate) struct Client {
     pub(super) front: Rc<Front>,
     pub(super) stream: TcpStream,
     pub(super) id: ConnectionId,
-    pub(super) input: BytesMut,
-    /// The most bytes that the input buffer has held.
-    pub(super) most_input: usize,
+    pub(super) input: InputBuffer,
     pub(super) replies: VecDeque<Reply>,
     /// Whether the last reply is expected to be a large value. Nothing is read or decoded behind its command until it
     /// is written: if it breaks off while it is forwarded, what has been read behind it would never be answered.
@@ -73,8 +75,8 @@
     pub(super) command_timeout: Duration,
     /// The deadline for the arrival of an incomplete command, once the length of its last argument is known.
     pub(super) value_deadline: Option<Instant>,
-    /// The memory reserved for a large value that is arriving.
-    pub(super) value_permit: Option<MemoryPermit>,
+    /// The incomplete command in the input, once there is room for all of it.
+    pub(super) partial_command: Option<PartialCommandSize>,
     /// The longest time for which the latest input may have waited before it was read.
     pub(super) input_age: Duration,
     /// The longest time for which the connection may have existed when it was accepted: its wait for a slot and a stall
@@ -111,8 +113,7 @@
             age_at_accept: accepted.waited + front.handle.stall_monitor.overdue(now),
             front,
             stream: accepted.stream,
-            input: BytesMut::with_capacity(INPUT_BYTES),
-            most_input: 0,
+            input: InputBuffer::new(),
             replies: VecDeque::new(),
             awaits_large_answer: false,
             is_ending: false,
@@ -120,7 +121,7 @@
             command_awaited_since: Some(now),
             command_timeout: Duration::from_micros(accepted.timeout.0),
             value_deadline: None,
-            value_permit: None,
+            partial_command: None,
             input_age: Duration::ZERO,
             slotless: accepted.slotless,
             bytes_to_skip: 0,
@@ -146,18 +147,6 @@
         !self.input.is_empty() || self.bytes_to_skip > 0
     }
 
-    /// Replaces an input buffer that has grown by a new one with the rest of its input. The old buffer is freed with the
-    /// commands in it, whose memory is accounted; the connection must not keep it.
-    pub(super) fn release_input_buffer(&mut self) {
-        if self.most_input <= MAX_KEPT_INPUT_BYTES {
-            return;
-        }
-        let mut input = BytesMut::with_capacity(INPUT_BYTES.max(self.input.len()));
-        input.extend_from_slice(&self.input);
-        self.most_input = input.len();
-        self.input = input;
-    }
-
     /// Clears the timers of the wait for a command.
     pub(super) fn clear_command_timers(&mut self) {
         self.command_awaited_since = None;
--- a/crates/front/src/client/serve.rs
+++ b/crates/front/src/client/serve.rs
@@ -3,7 +3,7 @@
 
 use super::closing::CloseReason;
 use super::connection::{Client, ReportedState};
-use super::reply::{BUSY, Reply, next_answer};
+use super::reply::{BUSY, EncodedReplies, Reply, next_answer};
 use super::socket::{ClientEvent, ReadMode, read_or_watch, wait_for_client_close, write_all};
 use crate::shutdown::{Schedule, Stage};
 use bytes::BytesMut;
@@ -14,8 +14,9 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
-/// Replies are added to a batch until it has at least this size.
-const BATCH_TARGET_BYTES: usize = 256 * 1024;
+/// Replies are written together up to this size. A longer reply is written by itself, from the buffer that its memory was
+/// reserved for.
+const MAX_BATCH_BYTES: usize = 16 * 1024;
 /// The capacity of the buffer for the RESP bulk header of a streamed value, in bytes.
 const BULK_HEADER_CAPACITY: usize = 16;
 
@@ -50,7 +51,7 @@
         // The client may have closed the connection before it was accepted. The runtime notices the close when it polls
         // the socket; without this yield, a request would be read first.
         yield_now().await;
-        let mut batch = BytesMut::new();
+        let mut batch = EncodedReplies::default();
         while !self.has_client_closed {
             if self.write_replies(&mut batch).await? {
                 self.last_written_at = Some(Instant::now());
@@ -66,11 +67,11 @@
     }
 
     /// Writes the replies that are ready; returns whether there were any.
-    async fn write_replies(&mut self, batch: &mut BytesMut) -> io::Result<bool> {
+    async fn write_replies(&mut self, batch: &mut EncodedReplies) -> io::Result<bool> {
         self.collect_ready_replies(batch);
-        if !batch.is_empty() {
-            write_all(&self.stream, batch).await?;
-            *batch = BytesMut::new(); // an idle connection must not keep the buffer of its answers
+        if !batch.bytes.is_empty() {
+            write_all(&self.stream, &batch.bytes).await?;
+            *batch = EncodedReplies::default(); // an idle connection must not keep the buffer of its answers
             return Ok(true);
         }
         match self.replies.pop_front() {
@@ -81,7 +82,7 @@
             // If the value broke off while it is forwarded, only the end of the connection could follow, and what was
             // read behind it would never be answered.
             Some(Reply::Streamed(value)) => {
-                let budget = self.front.handle.memory_budget().clone();
+                let budget = self.front.handle.answer_memory().clone();
                 self.replies.push_front(Reply::buffering(*value, budget));
                 Ok(false)
             }
@@ -170,7 +171,7 @@
         tokio::select! {
             biased;
             answer = next_answer(&mut self.replies) => {
-                self.replies[0] = Reply::encode(answer);
+                self.replies[0].resolve(answer);
                 // Only an answer during a shutdown counts: after it, an idle connection may close at once.
                 self.last_answered_at = self.front.shutdown().is_closing().then(Instant::now);
             }
@@ -202,17 +203,20 @@
 
     /// Moves the replies that are ready to `batch`, and decodes further commands as the number of replies
     /// falls.
-    fn collect_ready_replies(&mut self, batch: &mut BytesMut) {
+    fn collect_ready_replies(&mut self, batch: &mut EncodedReplies) {
         loop {
-            while batch.len() < BATCH_TARGET_BYTES {
-                match self.replies.pop_front() {
-                    Some(Reply::Ready(bytes)) if batch.is_empty() => *batch = bytes,
-                    Some(Reply::Ready(bytes)) => batch.unsplit(bytes),
-                    Some(pending) => {
-                        self.replies.push_front(pending);
+            while let Some(reply) = self.replies.pop_front() {
+                match reply {
+                    Reply::Ready(reply)
+                        if batch.bytes.is_empty()
+                            || batch.bytes.len() + reply.bytes.len() <= MAX_BATCH_BYTES =>
+                    {
+                        batch.append(reply);
+                    }
+                    other => {
+                        self.replies.push_front(other);
                         break;
                     }
-                    None => break,
                 }
             }
             self.awaits_large_answer &= !self.replies.is_empty();
@@ -234,7 +238,7 @@
         if !self.accepts_commands() || self.input.is_empty() || self.bytes_to_skip > 0 {
             return false;
         }
-        self.value_permit = None;
+        self.partial_command = None;
         self.replies.push_back(Reply::line(BUSY));
         self.input.clear();
         self.clear_command_timers();
@@ -248,10 +252,11 @@
             match reply {
                 Reply::Pending(ticket) => {
                     let answer = ticket.now_or_never().unwrap_or_else(|| ticket.abandon());
-                    *reply = Reply::encode(answer);
+                    reply.resolve(answer);
                 }
                 Reply::Buffering(value) => {
-                    *reply = Reply::encode(value.now_or_never().unwrap_or(Answer::Failed));
+                    let answer = value.now_or_never().unwrap_or(Answer::Failed);
+                    reply.resolve(answer);
                 }
                 Reply::Ready(_) | Reply::Streamed(_) => {}
             }
--- a/crates/front/src/client/socket.rs
+++ b/crates/front/src/client/socket.rs
@@ -1,8 +1,8 @@
 //! Reads and writes a client's socket, and detects that the client has closed its sending side.
 
+use super::input::InputBuffer;
 use super::lookahead::read;
 use crate::front::Front;
-use bytes::BytesMut;
 use futures_util::FutureExt;
 use std::io;
 use std::time::Duration;
@@ -53,7 +53,7 @@
 
 /// Reads into `input`, or waits for the events of `mode` without reading.
 pub(super) async fn read_or_watch(
-    stream: &mut TcpStream, input: &mut BytesMut, front: &Front, mode: ReadMode,
+    stream: &mut TcpStream, input: &mut InputBuffer, front: &Front, mode: ReadMode,
 ) -> io::Result<ClientEvent> {
     if mode == ReadMode::Read {
         let read = read(stream, input, front).await?;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -5,7 +5,7 @@
 use gateway::Call;
 use gateway::engine::IncomingRequest;
 use gateway::setup::Names;
-use proto::resp::Command;
+use proto::resp::{Command, MAX_HEAD_BYTES};
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -102,6 +102,10 @@
     if !is_printable_word(id) || !is_printable_word(options) {
         return Err(InvalidCommand::IdOrOptions);
     }
+    let head = &command.0[..READ_WORDS];
+    if head.iter().map(Bytes::len).sum::<usize>() > MAX_HEAD_BYTES {
+        return Err(InvalidCommand::IdOrOptions);
+    }
     let parsed = Options::parse(options, names)?;
     let time_limit = parsed.time_limit.ok_or(InvalidCommand::NoTimeLimit)?;
     Ok(IncomingRequest {
--- a/crates/gateway/src/engine/handle.rs
+++ b/crates/gateway/src/engine/handle.rs
@@ -22,6 +22,12 @@
 use upstream::call::Answer;
 use upstream::memory::{MemoryBudget, MemoryPermit};
 
+/// The memory that an open request needs beside the parts of its command: its state, its attempts, and a response
+/// buffer that is not reserved by itself, or the encoded answer.
+const REQUEST_BYTES: usize = 6 * 1024;
+/// How often the words of a command other than its value are copied: for the client's id, and for attempts.
+const HEAD_COPIES: usize = 4;
+
 /// Why an operator's command was not applied. No part of the command is in force.
 #[derive(Debug, thiserror::Error)]
 pub enum CommandError {
@@ -44,7 +50,10 @@
     next_id: Rc<Cell<u64>>,
     pub(super) open_requests: Rc<OpenRequests>,
     pub(super) counters: Rc<RefCell<RequestCounters>>,
-    pub(super) budget: MemoryBudget,
+    /// The memory for commands: the buffers that they were read into.
+    command_memory: MemoryBudget,
+    /// The memory for open requests and their answers.
+    pub(super) answer_memory: MemoryBudget,
     pub(super) answer_sizes: Rc<AnswerSizes>,
     pub(super) ready: Rc<watch::Sender<bool>>,
     pub(super) draining: Rc<watch::Sender<bool>>,
@@ -74,7 +83,8 @@
             next_id: Rc::default(),
             open_requests: Rc::new(OpenRequests::new(&config.bounds)),
             counters: Rc::new(RefCell::new(RequestCounters::new(config.settings.classes.len()))),
-            budget: MemoryBudget::new(config.bounds.held_bytes),
+            command_memory: MemoryBudget::new(config.bounds.held_bytes),
+            answer_memory: MemoryBudget::new(config.bounds.answer_bytes),
             answer_sizes: Rc::new(AnswerSizes::new(config.settings.classes.len())),
             ready: Rc::default(),
             draining: Rc::default(),
@@ -89,30 +99,34 @@
     pub fn submit(&self, incoming: IncomingRequest) -> Option<Ticket> {
         // A copy: a slice of the command would keep its value in memory until the answer is written.
         let client_id = Bytes::copy_from_slice(&incoming.call.id);
+        let needed = REQUEST_BYTES + HEAD_COPIES * incoming.call.head_bytes();
+        let reserved = self.answer_memory.reserve(needed);
         if !self.open_requests.reserve_id(client_id.clone()) {
             return None;
         }
         let id = RequestId(self.next_id.replace(self.next_id.get() + 1));
         let (sender, answer) = oneshot::channel();
         let awaited = Rc::new(Cell::new(true));
-        if self.open_requests.is_full() {
+        let is_full = reserved.is_none() || self.open_requests.is_full();
+        let memory = Rc::new(reserved.unwrap_or_else(|| self.answer_memory.empty_permit()));
+        if is_full {
             self.counters.borrow_mut().count_rejected_before_routing(incoming.class, Reason::NoCapacity);
             let _ = sender.send(Answer::Rejected(0)); // cannot fail: the receiver is alive
         } else {
             // If the engine has stopped, the sender is dropped with the input, and the ticket resolves to
             // `Answer::Failed`.
-            let slot = AnswerSlot { sender, awaited: awaited.clone() };
+            let slot = AnswerSlot { sender, memory: memory.clone(), awaited: awaited.clone() };
             let _ = self.inputs.send(Input::Submitted(id, incoming, slot));
         }
         self.open_requests.open();
         let (inputs, open_requests) = (self.inputs.clone(), self.open_requests.clone());
-        Some(Ticket { id, client_id, answer, inputs, open_requests, awaited, answered: false })
+        Some(Ticket { id, client_id, answer, inputs, open_requests, awaited, answered: false, memory })
     }
 
-    /// Reserves memory for a value that must be buffered completely. Returns `None` if the memory budget is exhausted.
+    /// Reserves memory for a command. Returns `None` if its memory budget is exhausted.
     #[must_use]
-    pub fn reserve_memory(&self, bytes: usize) -> Option<MemoryPermit> {
-        self.budget.reserve(bytes)
+    pub fn reserve_command_memory(&self, bytes: usize) -> Option<MemoryPermit> {
+        self.command_memory.reserve(bytes)
     }
 
     /// Returns whether a large value is expected as the answer to a request of this class.
@@ -127,10 +141,10 @@
         self.answer_sizes.expects_any_large()
     }
 
-    /// Returns the memory budget for values that must be buffered completely.
+    /// Returns the memory budget for open requests and their answers.
     #[must_use]
-    pub fn memory_budget(&self) -> &MemoryBudget {
-        &self.budget
+    pub fn answer_memory(&self) -> &MemoryBudget {
+        &self.answer_memory
     }
 
     /// Counts a request that its front rejected because the memory budget was exhausted.
--- a/crates/gateway/src/engine/input.rs
+++ b/crates/gateway/src/engine/input.rs
@@ -32,14 +32,16 @@
     pub time_limit: Duration,
     /// The parts of the request that are forwarded to an endpoint.
     pub call: Rc<Call>,
-    /// The memory that the front has reserved for the value, if any.
-    pub memory: Option<MemoryPermit>,
+    /// The memory reserved for the buffer that the parts of the request are slices of; `None` if the buffer is small.
+    pub memory: Option<Rc<MemoryPermit>>,
 }
 
 /// The receiving side of the final answer of a request.
 #[derive(Debug)]
 pub(super) struct AnswerSlot {
     pub(super) sender: oneshot::Sender<Answer>,
+    /// The memory reserved for the state of the request, and for a small answer.
+    pub(super) memory: Rc<MemoryPermit>,
     /// Whether the client still waits for the answer. Shared with the ticket and with the attempts.
     pub(super) awaited: Rc<Cell<bool>>,
 }
--- a/crates/gateway/src/engine/phases/attempts.rs
+++ b/crates/gateway/src/engine/phases/attempts.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
-use upstream::call::Answer;
+use upstream::call::{Answer, ServedValue};
 use upstream::connection::{Attempt, AttemptResult, SendPermit, StreamedValue};
 use upstream::endpoints::Endpoint;
 
@@ -77,7 +77,7 @@
             permit,
             is_non_idempotent,
             throttles: self.throttles.clone(),
-            budget: self.handle.budget.clone(),
+            budget: self.handle.answer_memory.clone(),
             written_count: self.handle.counters.borrow().attempts.clone(),
         })
     }
@@ -133,7 +133,10 @@
                 self.handle.answer_sizes.record(context.class, result.large.is_some());
             }
             self.handle.open_requests.record_answer_size(result.value.len());
-            let answer = result.large.map_or(Answer::Served(result.value), Answer::Streamed);
+            let answer = match result.large {
+                Some(large) => Answer::Streamed(large),
+                None => Answer::Served(ServedValue { bytes: result.value, memory: result.memory }),
+            };
             self.send_answer(id, answer);
         }
         let finished = self.requests.get(&id).is_none_or(|context| context.answer_sender.is_none());
--- a/crates/gateway/src/engine/phases/requests.rs
+++ b/crates/gateway/src/engine/phases/requests.rs
@@ -20,7 +20,7 @@
 impl Engine {
     /// Accepts a request, or rejects it before it reaches the decision module.
     pub(in crate::engine) fn accept_request(
-        &mut self, id: RequestId, mut incoming: IncomingRequest, slot: AnswerSlot,
+        &mut self, id: RequestId, incoming: IncomingRequest, slot: AnswerSlot,
     ) {
         let accepted_at = Instant::now();
         if !slot.awaited.get() {
@@ -30,7 +30,7 @@
         // Caps the time limit, so that no client can keep a request open for minutes.
         let deadline = incoming.received + incoming.time_limit.min(self.bounds.longest);
         let time_left = deadline.saturating_duration_since(accepted_at);
-        if let Err(reason) = self.check_admission(&mut incoming, time_left) {
+        if let Err(reason) = self.check_admission(&incoming, time_left) {
             return self.reject_before_routing(&incoming, slot, reason);
         }
         let request = Request {
@@ -46,7 +46,8 @@
         let overdue_timer = self.timers.schedule(TimerEvent::RequestOverdue(id), time_left + OVERDUE_DELAY);
         let context = RequestContext {
             call: incoming.call,
-            _memory: incoming.memory,
+            _command_memory: incoming.memory,
+            _memory: slot.memory,
             class: incoming.class,
             effect: self.effects.get(usize::from(incoming.class.0)).copied().unwrap_or(Effect::NonIdempotent),
             accepted_at,
@@ -65,8 +66,8 @@
         self.events.push_back(Event::Request(request));
     }
 
-    /// Checks whether a request can be accepted, and reserves the memory of its value.
-    fn check_admission(&self, incoming: &mut IncomingRequest, time_left: Duration) -> Result<(), Reason> {
+    /// Checks whether a request can be accepted.
+    fn check_admission(&self, incoming: &IncomingRequest, time_left: Duration) -> Result<(), Reason> {
         if self.is_fenced() {
             return Err(Reason::Fenced);
         }
@@ -74,11 +75,6 @@
         if time_left.is_zero() && !incoming.time_limit.is_zero() {
             return Err(Reason::Deadline);
         }
-        let unreserved_value = incoming.call.value.as_ref().filter(|_| incoming.memory.is_none());
-        if let Some(value) = unreserved_value {
-            let memory = self.handle.budget.reserve(value.len());
-            incoming.memory = Some(memory.ok_or(Reason::NoCapacity)?);
-        }
         Ok(())
     }
 
--- a/crates/gateway/src/engine/requests.rs
+++ b/crates/gateway/src/engine/requests.rs
@@ -27,7 +27,10 @@
 /// A request in progress.
 pub(super) struct RequestContext {
     pub(super) call: Rc<Call>,
-    pub(super) _memory: Option<MemoryPermit>,
+    /// The memory reserved for the command.
+    pub(super) _command_memory: Option<Rc<MemoryPermit>>,
+    /// The memory reserved for this state, and for a small answer.
+    pub(super) _memory: Rc<MemoryPermit>,
     pub(super) class: ClassId,
     pub(super) effect: Effect,
     pub(super) accepted_at: Instant,
--- a/crates/gateway/src/engine/ticket.rs
+++ b/crates/gateway/src/engine/ticket.rs
@@ -11,6 +11,7 @@
 use std::task::{Context, Poll};
 use tokio::sync::{mpsc, oneshot};
 use upstream::call::Answer;
+use upstream::memory::MemoryPermit;
 
 /// A future that resolves to the one final answer of a request. If it is dropped before that, the engine is told that
 /// the client has left.
@@ -23,9 +24,17 @@
     /// Cleared when the client leaves, so that attempts stop before the engine handles the input.
     pub(super) awaited: Rc<Cell<bool>>,
     pub(super) answered: bool,
+    /// The memory reserved for the request and a small answer.
+    pub(super) memory: Rc<MemoryPermit>,
 }
 
 impl Ticket {
+    /// Returns the memory reserved for the request, to be kept until its answer is written.
+    #[must_use]
+    pub fn memory(&self) -> Rc<MemoryPermit> {
+        self.memory.clone()
+    }
+
     /// Gives up waiting: tells the engine to fail the request, and returns [`Answer::Failed`] for the client.
     pub fn abandon(&mut self) -> Answer {
         self.answered = true;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,6 @@
 mod topology_text;
 
 // Re-exported so that fronts do not depend on the `upstream` crate.
-pub use upstream::call::{Answer, Call};
+pub use upstream::call::{Answer, Call, ServedValue};
 pub use upstream::connection::StreamedValue;
 pub use upstream::memory::{MemoryBudget, MemoryPermit};
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -104,6 +104,7 @@
     AttemptResult {
         outcome: Outcome::Ok,
         value: Bytes::from_static(value),
+        memory: None,
         large: None,
         fetch_pending: false,
         doubtful: false,
@@ -174,7 +175,7 @@
         advance(time_left).await;
         assert!(balancer.engine.is_fenced());
         balancer.engine.end_attempt(attempt, served_result(b"value"));
-        assert!(matches!(final_answer(ticket).await, Answer::Served(value) if value == "value"));
+        assert!(matches!(final_answer(ticket).await, Answer::Served(value) if value.bytes == "value"));
         assert_eq!(balancer.engine.request_count(), 0);
     };
     LocalSet::new().run_until(run).await;
--- a/crates/proto/src/http/head.rs
+++ b/crates/proto/src/http/head.rs
@@ -29,14 +29,20 @@
 }
 
 impl ResponseHead {
-    /// Returns the length of the body if it is stated and more than [`MAX_BUFFERED_VALUE_BYTES`].
+    /// Returns the length of the body if it is stated.
     #[must_use]
-    pub fn large_body_length(&self) -> Option<usize> {
+    pub fn body_length(&self) -> Option<usize> {
         match self.body {
-            BodyFraming::Length(length) if length > MAX_BUFFERED_VALUE_BYTES => Some(length),
-            _ => None,
+            BodyFraming::Length(length) => Some(length),
+            BodyFraming::Chunked | BodyFraming::UntilClose => None,
         }
     }
+
+    /// Returns the length of the body if it is stated and more than [`MAX_BUFFERED_VALUE_BYTES`].
+    #[must_use]
+    pub fn large_body_length(&self) -> Option<usize> {
+        self.body_length().filter(|length| *length > MAX_BUFFERED_VALUE_BYTES)
+    }
 }
 
 /// Parses the head of a response.
--- a/crates/proto/src/resp.rs
+++ b/crates/proto/src/resp.rs
@@ -13,7 +13,7 @@
 /// The most words of a command, or parts of a reply. The longest command that clients send has five words.
 const MAX_WORDS: i64 = 16;
 /// The most bytes of a command's words other than its value.
-const MAX_HEAD_BYTES: usize = 4 * 1024;
+pub const MAX_HEAD_BYTES: usize = 4 * 1024;
 /// The most bytes of a command, or of a reply, without a large value.
 const MAX_MESSAGE_BYTES: usize = MAX_BUFFERED_VALUE_BYTES + MAX_HEAD_BYTES;
 /// The most bytes of a command with a large value.
@@ -131,6 +131,19 @@
     Ok((parts as usize, length.parse_next(input)?))
 }
 
+/// Parses the start of a reply whose first part is a value, and returns the length of the value.
+fn value_length(input: &mut Input<'_>) -> Parsed<usize> {
+    let _parts = preceded(b'*', number).parse_next(input)?;
+    preceded(b'$', bulk_length).verify_map(|length| length).parse_next(input)
+}
+
+/// Returns how many bytes an incomplete reply has up to the end of its value, if it has one whose length has arrived.
+#[must_use]
+pub fn value_end(buffer: &[u8]) -> Option<usize> {
+    let (length, start) = parse(buffer, usize::MAX, "answer", value_length).ok()??;
+    Some(start + length)
+}
+
 /// Parses the parts of a reply that follow a large value.
 fn reply_tail(parts: usize) -> impl FnMut(&mut Input<'_>) -> Parsed<()> {
     move |input| repeat::<_, _, (), _, _>(parts, part.void()).parse_next(input)
@@ -201,8 +214,7 @@
 /// # Errors
 /// When the bytes are not a valid command; the connection cannot be used any more.
 pub fn parse_partial_command(buffer: &[u8]) -> Result<Option<PartialCommand>, ProtoError> {
-    let Some(((words, length), end)) = parse(buffer, MAX_LARGE_MESSAGE_BYTES, "command", partial_words)?
-    else {
+    let Some(((words, length), end)) = parse(buffer, MAX_HEAD_BYTES, "command", partial_words)? else {
         return Ok(None);
     };
     let words = Command(words.into_iter().map(|at| Bytes::copy_from_slice(&buffer[at])).collect());
--- a/crates/spindlebeam/src/config.rs
+++ b/crates/spindlebeam/src/config.rs
@@ -26,6 +26,15 @@
 const MIN_USABLE_SOCKETS: usize = 64;
 /// Bytes in a megabyte of `limits.memory_mb`.
 const MEGABYTE: usize = 1 << 20;
+/// The part of the memory for commands that are read and forwarded is 1 / this.
+const COMMAND_MEMORY_DIVISOR: usize = 6;
+/// The part of the memory for open requests and their answers is 1 / this.
+const ANSWER_MEMORY_DIVISOR: usize = 3;
+/// The part of the memory for client connections themselves is 1 / this. With the parts above, 5/8 of the memory is for
+/// clients; the rest is for endpoint connections, lists, the program and what the allocator cannot use.
+const CLIENT_MEMORY_DIVISOR: usize = 8;
+/// The memory that a client connection needs beside its commands and answers, in bytes.
+const CLIENT_BYTES: usize = 4 * 1024;
 /// Connections to endpoints are retired at this fraction of their idle time: a request written after it ends in a
 /// reset.
 const IDLE_MARGIN: f64 = 0.85;
@@ -121,16 +130,16 @@
     ensure!(memory_mb > 0, "limits.memory_mb: 0 is too little");
     let memory = memory_mb.saturating_mul(MEGABYTE);
     // Clients get the larger part: they open new connections and leave old ones open, while attempts reuse theirs.
-    let clients = usable * 5 / 8;
+    let clients = (usable * 5 / 8).min(memory / CLIENT_MEMORY_DIVISOR / CLIENT_BYTES).max(1);
     let permission =
         |name: &str, default: u64| whole_number(&file.settings()["permissions"][name]).unwrap_or(default);
     let deadlines = || settings.classes.iter().map(|class| class.deadline_us);
     Ok(Bounds {
         clients,
         peers: usable - clients,
-        held_bytes: memory / 6,
+        held_bytes: memory / COMMAND_MEMORY_DIVISOR,
         open: usize::try_from(permission("maxOpen", DEFAULT_MAX_OPEN)).unwrap_or(usize::MAX),
-        answer_bytes: memory / 3,
+        answer_bytes: memory / ANSWER_MEMORY_DIVISOR,
         dial: Duration::from_micros(permission("dialTimeoutUs", DEFAULT_DIAL_TIMEOUT_US)),
         idle: Duration::from_micros(permission("connIdleUs", DEFAULT_IDLE_US)).mul_f64(IDLE_MARGIN),
         longest: Duration::from_micros(deadlines().max().unwrap_or_default()),
--- a/crates/spindlebeam/tests/platform/client.rs
+++ b/crates/spindlebeam/tests/platform/client.rs
@@ -68,6 +68,11 @@
         let mut stream = self.0.get_ref().try_clone().unwrap();
         thread::spawn(move || while stream.write_all(&bytes).is_ok() {});
     }
+    /// Writes the bytes on a separate thread. Errors are ignored: the connection may be closed.
+    pub fn write_on_thread(&self, bytes: Vec<u8>) {
+        let mut stream = self.0.get_ref().try_clone().unwrap();
+        thread::spawn(move || stream.write_all(&bytes));
+    }
     /// Sends a read command. Errors are ignored: the connection may be closed.
     pub fn try_get(&mut self, class: &str, key: &str) {
         self.try_write_raw(&command(&["CACHE.GET", key, &new_id(), &format!("c={class},t=acme,d=60000")]));
--- a/crates/upstream/src/call.rs
+++ b/crates/upstream/src/call.rs
@@ -1,6 +1,7 @@
 //! The forwarded parts of a request, and its final answer. Shared by fronts, the engine and this crate.
 
 use crate::connection::StreamedValue;
+use crate::memory::MemoryPermit;
 use bytes::Bytes;
 use std::ops::Range;
 
@@ -23,6 +24,12 @@
 }
 
 impl Call {
+    /// Returns the length of all parts but the value.
+    #[must_use]
+    pub fn head_bytes(&self) -> usize {
+        self.command.len() + self.key.len() + self.id.len() + self.options.len()
+    }
+
     /// Returns the options with the client's time limit replaced by `ms` milliseconds, the time that this balancer will
     /// wait.
     #[must_use]
@@ -32,11 +39,20 @@
     }
 }
 
+/// A value that was read completely.
+#[derive(Debug)]
+pub struct ServedValue {
+    /// The value of a read or the receipt of a write.
+    pub bytes: Bytes,
+    /// The memory reserved for the value, if it is not small.
+    pub memory: Option<MemoryPermit>,
+}
+
 /// The one final answer to a request.
 #[derive(Debug)]
 pub enum Answer {
-    /// The value of a read or the receipt of a write, from an endpoint's response to this request.
-    Served(Bytes),
+    /// The value of an endpoint's response to this request.
+    Served(ServedValue),
     /// A large value, which is forwarded to the client as it arrives.
     Streamed(Box<StreamedValue>),
     /// The request was rejected, and a retry is harmless. Contains the advised delay before the retry in milliseconds;
--- a/crates/upstream/src/connection/attempt.rs
+++ b/crates/upstream/src/connection/attempt.rs
@@ -42,7 +42,7 @@
     pub is_non_idempotent: bool,
     /// Limits on the log lines of attempts.
     pub throttles: Rc<AttemptLogThrottles>,
-    /// The memory budget for large responses that must be buffered completely.
+    /// The memory budget for responses.
     pub budget: MemoryBudget,
     /// The number of attempts whose request was written completely. Incremented by this attempt.
     pub written_count: Rc<Cell<u64>>,
@@ -111,10 +111,12 @@
         stage.set(Stage::Written);
         self.written_count.set(self.written_count.get() + 1);
         let written_at = Instant::now();
+        connection.begin_response(&self.budget);
         let doubtful = connection.has_carried_response();
         match self.read_response(&mut connection).await {
-            Ok(Response::Complete { result, reusable }) => {
+            Ok(Response::Complete { mut result, reusable }) => {
                 connection.record_response(written_at);
+                result.keep_memory(connection.take_memory());
                 AttemptResult { doubtful, connection: reusable.then_some(connection), ..result }
             }
             Ok(Response::Large(head)) => {
--- a/crates/upstream/src/connection/http_response.rs
+++ b/crates/upstream/src/connection/http_response.rs
@@ -1,6 +1,8 @@
 //! Reads HTTP responses from the origin.
 
-use super::response::{LargeResponse, ReadOutcome, Response, ResponseError, read_more, read_or_end};
+use super::response::{
+    LargeResponse, ReadOutcome, Response, ResponseError, make_room, read_more, read_or_end,
+};
 use super::result::AttemptResult;
 use super::socket::Connection;
 use super::streamed::StreamedValue;
@@ -10,6 +12,11 @@
 use proto::http::{BodyEvent, Decoder, ResponseHead};
 use proto::{MAX_BUFFERED_VALUE_BYTES, MAX_VALUE_BYTES, ProtoError};
 
+/// The first capacity of the buffer that parts of a body are joined in.
+const MIN_JOINED_BYTES: usize = 2 * 1024;
+/// The capacity up to which that buffer needs no reserved memory beyond what each open request reserves.
+const MAX_UNRESERVED_BYTES: usize = 4 * 1024;
+
 /// Reads a response. If its value is large and has a known length, reads only the head.
 pub(super) async fn read_http(
     connection: &mut Connection, budget: &MemoryBudget,
@@ -24,6 +31,9 @@
     if let (200, Some(length)) = (head.status, head.large_body_length()) {
         return Ok(Response::Large(LargeResponse { length, reusable: head.keep_alive, tail: None }));
     }
+    if let Some(length) = head.body_length() {
+        make_room(connection, length).await?;
+    }
     let body = read_body(connection, &mut decoder, budget).await?;
     Ok(Response::Complete { result: to_result(&head, body), reusable: head.keep_alive })
 }
@@ -33,11 +43,11 @@
         200 => {
             let (value, memory) = body.finish();
             match memory {
-                None => AttemptResult { value, ..Outcome::Ok.into() },
-                Some(memory) => {
+                Some(memory) if value.len() > MAX_BUFFERED_VALUE_BYTES => {
                     let large = Some(Box::new(StreamedValue::from_memory(value, memory)));
                     AttemptResult { large, ..Outcome::Ok.into() }
                 }
+                memory => AttemptResult { value, memory, ..Outcome::Ok.into() },
             }
         }
         503 | 504 if head.is_declined => Outcome::Rejected.into(),
@@ -59,14 +69,14 @@
         };
         match event {
             BodyEvent::Head(_) => {}
-            BodyEvent::Data(part) => body.push(part)?,
+            BodyEvent::Data(part) => body.push(part).await?,
             BodyEvent::End => return Ok(body),
         }
     }
 }
 
 /// Collects the parts of a body. A body of one part, the usual case, is not copied. Several parts are joined into one
-/// buffer, which is reserved from the memory budget if it is large.
+/// buffer, whose memory is reserved if it is not small.
 struct BodyBuffer<'a> {
     budget: &'a MemoryBudget,
     /// The first part, while it is the only one.
@@ -81,7 +91,7 @@
         Self { budget, single: Bytes::new(), joined: BytesMut::new(), memory: None }
     }
 
-    fn push(&mut self, part: Bytes) -> Result<(), ResponseError> {
+    async fn push(&mut self, part: Bytes) -> Result<(), ResponseError> {
         if self.single.is_empty() && self.joined.is_empty() {
             self.single = part;
             return Ok(());
@@ -90,8 +100,8 @@
         if length > MAX_VALUE_BYTES {
             return Err(ProtoError::TooLong("body").into());
         }
-        if length > MAX_BUFFERED_VALUE_BYTES {
-            self.reserve_memory(length, part.len())?;
+        if length > self.joined.capacity() {
+            self.enlarge(length).await?;
         }
         if self.joined.is_empty() {
             self.joined.put_slice(&std::mem::take(&mut self.single));
@@ -100,19 +110,23 @@
         Ok(())
     }
 
-    /// Reserves memory for a body that has grown to `length` bytes, of which `added` are new.
-    fn reserve_memory(&mut self, length: usize, added: usize) -> Result<(), ResponseError> {
-        let reserved = match &mut self.memory {
-            Some(memory) => memory.try_grow(added),
-            None => {
-                self.memory = self.budget.reserve(length);
-                self.memory.is_some()
+    /// Makes room for a body of `length` bytes. Doubles the capacity, so that a long body is not copied for each part.
+    async fn enlarge(&mut self, length: usize) -> Result<(), ResponseError> {
+        let capacity = length.max(2 * self.joined.capacity()).clamp(MIN_JOINED_BYTES, MAX_VALUE_BYTES);
+        if capacity > MAX_UNRESERVED_BYTES {
+            let memory = self.memory.get_or_insert_with(|| self.budget.empty_permit());
+            let missing = capacity - memory.bytes().min(capacity);
+            if !memory.grow_when_available(missing).await {
+                return Err(ResponseError::OutOfMemory);
             }
-        };
-        if reserved { Ok(()) } else { Err(ResponseError::OutOfMemory) }
+        }
+        let mut joined = BytesMut::with_capacity(capacity);
+        joined.put_slice(&self.joined);
+        self.joined = joined;
+        Ok(())
     }
 
-    /// Returns the whole body, and the memory reserved for it if it is large.
+    /// Returns the whole body, and the memory reserved for it.
     fn finish(self) -> (Bytes, Option<MemoryPermit>) {
         let value = if self.joined.is_empty() { self.single } else { self.joined.freeze() };
         (value, self.memory)
--- a/crates/upstream/src/connection/pools.rs
+++ b/crates/upstream/src/connection/pools.rs
@@ -181,6 +181,7 @@
             return;
         };
         connection.release_buffer();
+        drop(connection.take_memory());
         match connection.check_no_input() {
             Ok(()) => {
                 let idle = IdleConnection { since: Instant::now(), connection };
--- a/crates/upstream/src/connection/resp_response.rs
+++ b/crates/upstream/src/connection/resp_response.rs
@@ -1,12 +1,15 @@
 //! Reads RESP responses from cache nodes.
 
 use super::log_throttles::AttemptLogThrottles;
-use super::response::{LargeResponse, Response, ResponseError, read_more};
+use super::response::{LargeResponse, Response, ResponseError, make_room, read_more};
 use super::result::AttemptResult;
 use super::socket::Connection;
 use decide::api::Outcome;
 use proto::resp::{self, Reply};
 
+/// The room for what usually follows a value: its line end, how the read went, and a load report.
+const TAIL_BYTES: usize = 256;
+
 /// The prefix of the error by which a cache node rejects a command as malformed.
 const SYNTAX_ERROR: &[u8] = b"SYNTAX";
 
@@ -17,7 +20,12 @@
     let reply = loop {
         match resp::decode_reply(&mut connection.buffer)? {
             Some(reply) => break reply,
-            None => read_more(connection).await?,
+            None => {
+                if let Some(end) = resp::value_end(&connection.buffer) {
+                    make_room(connection, end + TAIL_BYTES).await?;
+                }
+                read_more(connection).await?;
+            }
         }
     };
     let result = match reply {
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -4,6 +4,7 @@
 use super::socket::Connection;
 use proto::ProtoError;
 use proto::resp::ReplyTail;
+use std::io::ErrorKind;
 
 /// Why a response is unusable.
 #[derive(Debug)]
@@ -54,6 +55,11 @@
     }
 }
 
+/// Makes room in the connection's buffer for `bytes` unparsed bytes in all.
+pub(super) async fn make_room(connection: &mut Connection, bytes: usize) -> Result<(), ResponseError> {
+    connection.make_room(bytes).await.map_err(|_| ResponseError::OutOfMemory)
+}
+
 /// The result of a read from a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ReadOutcome {
@@ -68,6 +74,7 @@
     match connection.read().await {
         Ok(0) => Ok(ReadOutcome::End),
         Ok(_) => Ok(ReadOutcome::Bytes),
+        Err(error) if error.kind() == ErrorKind::OutOfMemory => Err(ResponseError::OutOfMemory),
         Err(_) => Err(ResponseError::Reset),
     }
 }
--- a/crates/upstream/src/connection/result.rs
+++ b/crates/upstream/src/connection/result.rs
@@ -2,6 +2,7 @@
 
 use super::socket::Connection;
 use super::streamed::StreamedValue;
+use crate::memory::MemoryPermit;
 use bytes::Bytes;
 use decide::api::Outcome;
 
@@ -12,6 +13,8 @@
     pub outcome: Outcome,
     /// The value of the response; empty if there is none or if it is in `large`.
     pub value: Bytes,
+    /// The memory reserved for `value`, if it is not small.
+    pub memory: Option<MemoryPermit>,
     /// A large value that was buffered completely, because its length was not stated.
     pub large: Option<Box<StreamedValue>>,
     /// Whether the cache node has missed while another fetch of the key is in flight.
@@ -27,11 +30,23 @@
     pub connection: Option<Connection>,
 }
 
+impl AttemptResult {
+    /// Keeps reserved memory until the value is written to the client.
+    pub(super) fn keep_memory(&mut self, memory: Option<MemoryPermit>) {
+        match (&mut self.memory, memory) {
+            (Some(kept), Some(added)) => kept.merge(added),
+            (kept, Some(added)) => *kept = Some(added),
+            (_, None) => {}
+        }
+    }
+}
+
 impl From<Outcome> for AttemptResult {
     fn from(outcome: Outcome) -> Self {
         Self {
             outcome,
             value: Bytes::new(),
+            memory: None,
             large: None,
             fetch_pending: false,
             doubtful: false,
--- a/crates/upstream/src/connection/socket.rs
+++ b/crates/upstream/src/connection/socket.rs
@@ -1,6 +1,7 @@
 //! An open connection, and the permit to open one.
 
-use bytes::BytesMut;
+use crate::memory::{MemoryBudget, MemoryPermit};
+use bytes::{BufMut, BytesMut};
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::ErrorKind;
@@ -10,7 +11,7 @@
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// How long nothing is written to a connection after a response. An endpoint may send a second copy of a response some
 /// milliseconds late, unless the next request has reached it by then. A copy that arrives within this time is seen
@@ -19,9 +20,14 @@
 
 /// The initial capacity of the buffer for responses.
 const RESPONSE_BYTES: usize = 1024;
-/// A response buffer that has held more than this is replaced after the response.
+/// The capacity up to which a response buffer needs no reserved memory: the number of connections bounds it. A buffer
+/// that has held more than this is replaced after the response.
 const MAX_KEPT_RESPONSE_BYTES: usize = 4 * 1024;
 
+/// How long a response waits for memory. What is not released by then is held by answers that wait themselves, for an
+/// earlier answer or for a slow client.
+const MEMORY_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A permit for one open connection. Released when dropped.
 #[derive(Debug)]
 pub struct ConnectionPermit {
@@ -51,6 +57,8 @@
     pub(super) buffer: BytesMut,
     /// The most bytes that `buffer` has held.
     most_buffered: usize,
+    /// The memory reserved for a buffer of more than [`MAX_KEPT_RESPONSE_BYTES`]; `None` outside responses.
+    memory: Option<MemoryPermit>,
     permit: ConnectionPermit,
     /// The latest response; `None` if there was none.
     last_response: Option<LastResponse>,
@@ -67,19 +75,72 @@
 impl Connection {
     /// Creates a connection with an empty buffer.
     pub(super) fn new(stream: TcpStream, permit: ConnectionPermit) -> Self {
-        Self { stream, buffer: BytesMut::new(), most_buffered: 0, permit, last_response: None }
+        Self { stream, buffer: BytesMut::new(), most_buffered: 0, memory: None, permit, last_response: None }
+    }
+
+    /// Begins a response, whose memory is reserved from `budget`.
+    pub(super) fn begin_response(&mut self, budget: &MemoryBudget) {
+        self.memory = Some(budget.empty_permit());
     }
 
-    /// Reads once into the buffer. Returns the number of bytes; 0 at the end of the connection.
+    /// Ends a response. Returns the memory that is reserved for the bytes read so far.
+    pub(super) fn take_memory(&mut self) -> Option<MemoryPermit> {
+        self.memory.take().filter(|memory| memory.bytes() > 0)
+    }
+
+    /// Reads once into the buffer. Waits while there is no memory for a larger buffer. Returns the number of bytes; 0 at
+    /// the end of the connection.
+    ///
+    /// # Errors
+    /// Returns an error of the socket, or one of kind `OutOfMemory` if there will never be enough memory.
     pub(super) async fn read(&mut self) -> std::io::Result<usize> {
-        if self.buffer.is_empty() {
-            self.buffer.reserve(RESPONSE_BYTES);
+        let length = self.buffer.len();
+        if length == 0 && self.buffer.capacity() < RESPONSE_BYTES {
+            self.buffer = BytesMut::with_capacity(RESPONSE_BYTES);
+        } else if length == self.buffer.capacity() {
+            self.replace_buffer((2 * length).max(RESPONSE_BYTES)).await?;
         }
-        let bytes = self.stream.read_buf(&mut self.buffer).await?;
+        let space = self.buffer.capacity() - length;
+        let bytes = self.stream.read_buf(&mut (&mut self.buffer).limit(space)).await?;
         self.most_buffered = self.most_buffered.max(self.buffer.len());
         Ok(bytes)
     }
 
+    /// Makes room for `bytes` unparsed bytes in all. Reserving all that a response needs at once keeps responses from
+    /// waiting for one another's memory.
+    ///
+    /// # Errors
+    /// Returns an error of kind `OutOfMemory` if there is not enough memory in time.
+    pub(super) async fn make_room(&mut self, bytes: usize) -> std::io::Result<()> {
+        if bytes <= self.buffer.capacity() { Ok(()) } else { self.replace_buffer(bytes).await }
+    }
+
+    /// Moves the unparsed bytes to a buffer of this capacity, and reserves its memory.
+    async fn replace_buffer(&mut self, capacity: usize) -> std::io::Result<()> {
+        if let Some(memory) = &mut self.memory {
+            let missing = capacity.saturating_sub(MAX_KEPT_RESPONSE_BYTES + memory.bytes());
+            let reserved = timeout(MEMORY_TIMEOUT, memory.grow_when_available(missing)).await;
+            if reserved != Ok(true) {
+                return Err(ErrorKind::OutOfMemory.into());
+            }
+        }
+        let mut buffer = BytesMut::with_capacity(capacity);
+        buffer.extend_from_slice(&self.buffer);
+        self.buffer = buffer;
+        Ok(())
+    }
+
+    /// Makes room for `capacity` bytes in an empty buffer, if the memory is available at once.
+    pub(super) fn enlarge_empty_buffer(&mut self, capacity: usize) {
+        if !self.buffer.is_empty() || self.buffer.capacity() >= capacity {
+            return;
+        }
+        let Some(memory) = &mut self.memory else { return };
+        if memory.try_grow(capacity.saturating_sub(MAX_KEPT_RESPONSE_BYTES + memory.bytes())) {
+            self.buffer = BytesMut::with_capacity(capacity);
+        }
+    }
+
     /// Replaces a buffer that has grown by one with the rest of its bytes, so that an idle connection does not keep it.
     pub(super) fn release_buffer(&mut self) {
         if self.most_buffered > MAX_KEPT_RESPONSE_BYTES {
--- a/crates/upstream/src/connection/streamed.rs
+++ b/crates/upstream/src/connection/streamed.rs
@@ -12,7 +12,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-/// The number of bytes that are read ahead of the client. Bounds the memory of a stream of any length.
+/// The number of bytes that are read ahead of the client, while there is memory for them. Bounds the memory of a stream
+/// of any length.
 const READ_AHEAD: usize = 32 * 1024;
 /// The timeout of one read: the stream fails if the endpoint sends nothing for this long.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -245,9 +246,7 @@
 
 /// Reads into the connection's buffer, and subtracts the elapsed time from `time_left`.
 async fn read_more(connection: &mut Connection, time_left: &mut Duration) -> io::Result<()> {
-    if connection.buffer.is_empty() {
-        connection.buffer.reserve(READ_AHEAD);
-    }
+    connection.enlarge_empty_buffer(READ_AHEAD);
     let started_at = Instant::now();
     let result = timeout(READ_TIMEOUT.min(*time_left), connection.read()).await;
     *time_left = time_left.saturating_sub(started_at.elapsed());
--- a/crates/upstream/src/setup.rs
+++ b/crates/upstream/src/setup.rs
@@ -22,12 +22,12 @@
     pub clients: usize,
     /// The maximum number of open connections to cache nodes and the origin, including idle ones.
     pub peers: usize,
-    /// The memory budget in bytes for values of requests, and of large answers that must be complete before they are
-    /// forwarded.
+    /// The memory budget in bytes for commands that are read or forwarded, with their values.
     pub held_bytes: usize,
     /// The maximum number of accepted requests whose answers are not written yet.
     pub open: usize,
-    /// The maximum memory in bytes for the answers of open requests, estimated by the size of recent answers.
+    /// The memory budget in bytes for open requests and their answers. No request is accepted either when the open ones
+    /// would need more by the size of recent answers.
     pub answer_bytes: usize,
     /// The timeout for connecting to an endpoint.
     pub dial: Duration,
