End a process after SIGTERM only when its last answer has been written

Cause: shut_down returned at the longest deadline and 0.6 s, whatever was on its way; the log has 'client connections were still busy at the deadline' and 'done' right behind it.

Change: the process waits until no client connection is open. All requests are answered by that time, so only answers on their way are left; the timeouts of their connections end each of them, and the platform's SIGKILL what it finds.

--- a/crates/spindlebeam/src/serve/shutdown.rs
+++ b/crates/spindlebeam/src/serve/shutdown.rs
@@ -13,7 +13,7 @@
 /// Every request is answered within this time after the counted deadline; [`FINAL_WRITE_PERIOD`] is left for writing
 /// the answer.
 const LAST_ANSWER: Duration = Duration::from_millis(500);
-/// The process exits by itself this long after the counted deadline if the platform has not ended it before.
+/// A process that another one has replaced exits by itself this long after the counted deadline if the platform has not ended it before.
 const LATEST_EXIT: Duration = Duration::from_millis(1_900);
 /// New connections are accepted for this long after SIGTERM.
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(500);
@@ -21,7 +21,8 @@
 /// another request, and were closed after its answer.
 const IDLE_AT_REPLACEMENT: Duration = Duration::from_millis(1_500);
 
-/// Answers every accepted request, closes all client connections, and returns when the process may exit.
+/// Answers every accepted request, closes all client connections once their answers are written, and returns when the
+/// process may exit.
 pub(super) async fn shut_down(parts: Parts) {
     let now = Instant::now();
     // The platform counts from when it sent the signal, which may have come while the event loop stalled.
@@ -43,7 +44,11 @@
         let _ = parts.accepting.await;
     }
     if timeout_at(deadline + FINAL_WRITE_PERIOD, parts.front.wait_until_empty()).await.is_err() {
-        log::warn!("shutdown: client connections were still busy at the deadline");
+        // Every request is answered by now, but answers may still be on their way: a server may still give a large value,
+        // or a client may read slowly. Ending the process would cut them off. Each ends within the timeouts of its
+        // connections, and the platform ends the process when it wants to.
+        log::info!("shutdown: answers are still being written; waiting for them");
+        parts.front.wait_until_empty().await;
     }
     log::info!("{}: done", parts.name);
     if replaced {
