Wait for a large value as long as its server sends a kilobyte a second

Cause: a value was given up after 30 s of waiting for its server in all, whatever had come meanwhile. With the cap out of the way the same value is read to its end, so it is neither the silence of 5 s nor the client.

Change: what arrives earns time at 1 KiB a second, up to the 30 s. A server that is silent for 5 s or sends single bytes is given up as before (trickling_large_response_times_out, unchanged).

Measured: slow_large_response_is_read_to_its_end (13 pieces of 8 KiB, 4 s apart) passes; without the earned time it fails.

--- a/crates/upstream/src/connection/streamed.rs
+++ b/crates/upstream/src/connection/streamed.rs
@@ -17,10 +17,12 @@
 const READ_AHEAD: usize = 32 * 1024;
 /// The timeout of one read: the stream fails if the endpoint sends nothing for this long.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
-/// The total time that a client waits for the endpoint, over all reads of a value. Otherwise, an endpoint that sends
-/// single bytes could occupy its connection and the client's indefinitely. The time that the client takes to receive
-/// the value does not count.
+/// The total time that a client waits for the endpoint beyond the time that its bytes take at [`MIN_BYTES_PER_SECOND`].
+/// Otherwise, an endpoint that sends single bytes could occupy its connection and the client's indefinitely. The time
+/// that the client takes to receive the value does not count.
 const TOTAL_READ_TIMEOUT: Duration = Duration::from_secs(30);
+/// An endpoint that sends a value at this rate or faster is waited for to the end of the value.
+const MIN_BYTES_PER_SECOND: f64 = 1024.0;
 
 /// How long the end of a value is held back while the part of the response after its line end is incomplete. Must be
 /// less than the 2 s after which a value that is held back counts as lost.
@@ -252,7 +254,11 @@
     *time_left = time_left.saturating_sub(started_at.elapsed());
     match result {
         Ok(Ok(0)) => Err(io::ErrorKind::UnexpectedEof.into()),
-        Ok(Ok(_)) => Ok(()),
+        Ok(Ok(bytes)) => {
+            let earned = Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND);
+            *time_left = (*time_left + earned).min(TOTAL_READ_TIMEOUT);
+            Ok(())
+        }
         Ok(Err(error)) => Err(error),
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
--- a/crates/upstream/tests/responses.rs
+++ b/crates/upstream/tests/responses.rs
@@ -315,6 +315,26 @@
     panic!("the read did not time out in 20 waits of 4 s");
 }
 
+/// Guards against values that are cut off while their endpoint still sends them slowly.
+#[tokio::test]
+async fn slow_large_response_is_read_to_its_end() {
+    const PIECE: usize = 8 * 1024;
+    let mut fake = FakeEndpoint::new("m");
+    let (mut large, mut remote, _run) = start_streaming(&mut fake, b"*3\r\n$100000\r\n").await;
+    while !large.is_consumed() {
+        let read = {
+            let mut next = pin!(large.next_chunk());
+            let is_pending = poll_fn(|cx| Poll::Ready(next.as_mut().poll(cx).is_pending())).await;
+            assert!(is_pending, "no byte has been sent");
+            advance_paused(Duration::from_secs(4)).await;
+            remote.write_all(&[b'x'; PIECE]).unwrap();
+            next.await.expect("an endpoint that goes on sending is waited for").len()
+        };
+        large.consume(read);
+    }
+    assert!(large.is_consumed());
+}
+
 /// When the endpoint sends bytes that belong to no response.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum ExtraBytes {
