Let other tasks run after eight commands of one client connection

Cause: a connection with input was served until the runtime interrupted it, 128 reads and writes later, each with up to 32 commands; a request waits for all other connections before each of the tasks it passes. The delay grows with the number of flooding clients at the same speed of the processor, and slots are free.

Change: a connection yields after 8 commands.

With the turns alone three cases of crossings_client.rs failed: commands of a client that had left were forwarded before the end of its connection was read. A request is not submitted any more once that end is known.

--- a/crates/front/src/client/commands.rs
+++ b/crates/front/src/client/commands.rs
@@ -2,6 +2,7 @@
 
 use super::connection::{Client, PartialCommandSize, ReportedState};
 use super::reply::{BUSY, Reply};
+use super::socket::has_client_closed;
 use crate::request::{self, ParsedCommand};
 use crate::shutdown::Stage;
 use bytes::{Buf, Bytes};
@@ -134,12 +135,18 @@
                 Ok(Some(command)) => self.reply_to(&command, memory, stage),
                 Err(error) => self.reject_malformed(error),
             };
+            self.commands_in_turn += 1;
             self.replies.push_back(reply);
         }
     }
 
     fn reply_to(&mut self, command: &Command, memory: Option<Rc<MemoryPermit>>, stage: Stage) -> Reply {
         match request::parse(command, &self.front.names, self.received_at()) {
+            // The end of the connection arrived with this command, or lies behind commands that are not read yet.
+            ParsedCommand::Request(_) if has_client_closed(&self.stream) => {
+                self.has_client_closed = true;
+                Reply::line(BUSY)
+            }
             ParsedCommand::Request(incoming) if stage >= Stage::Shedding => {
                 self.front.handle.count_shed(incoming.class);
                 Reply::line(BUSY)
--- a/crates/front/src/client/connection.rs
+++ b/crates/front/src/client/connection.rs
@@ -61,6 +61,8 @@
     /// Whether the last reply is expected to be a large value. Nothing is read or decoded behind its command until it
     /// is written: if it breaks off while it is forwarded, what has been read behind it would never be answered.
     pub(super) awaits_large_answer: bool,
+    /// The number of commands handled since the connection last let other tasks run.
+    pub(super) commands_in_turn: usize,
     /// Whether the connection ends once its replies are written.
     pub(super) is_ending: bool,
     /// Whether the client has closed its sending side.
@@ -116,6 +118,7 @@
             input: InputBuffer::new(),
             replies: VecDeque::new(),
             awaits_large_answer: false,
+            commands_in_turn: 0,
             is_ending: false,
             has_client_closed: false,
             command_awaited_since: Some(now),
--- a/crates/front/src/client/serve.rs
+++ b/crates/front/src/client/serve.rs
@@ -20,6 +20,10 @@
 /// The capacity of the buffer for the RESP bulk header of a streamed value, in bytes.
 const BULK_HEADER_CAPACITY: usize = 16;
 
+/// The number of commands after which a connection lets other tasks run. A task that always has input would otherwise
+/// run until the runtime interrupts it, which takes a hundred reads and writes.
+const COMMANDS_PER_TURN: usize = 8;
+
 /// The result of waiting for the next event on a connection.
 enum Event {
     /// Input, an answer, a close by the client or a wake-up was handled while waiting.
@@ -53,6 +57,7 @@
         yield_now().await;
         let mut batch = EncodedReplies::default();
         while !self.has_client_closed {
+            self.end_turn_when_due().await;
             if self.write_replies(&mut batch).await? {
                 self.last_written_at = Some(Instant::now());
                 continue;
@@ -66,6 +71,14 @@
         Ok(())
     }
 
+    /// Lets other tasks run when the connection has handled its share of commands, however many more have arrived.
+    async fn end_turn_when_due(&mut self) {
+        if self.commands_in_turn >= COMMANDS_PER_TURN {
+            self.commands_in_turn = 0;
+            yield_now().await;
+        }
+    }
+
     /// Writes the replies that are ready; returns whether there were any.
     async fn write_replies(&mut self, batch: &mut EncodedReplies) -> io::Result<bool> {
         self.collect_ready_replies(batch);
--- a/crates/front/src/client/socket.rs
+++ b/crates/front/src/client/socket.rs
@@ -38,7 +38,7 @@
 }
 
 /// Returns whether the client has closed its sending side, as far as the runtime was notified, even with unread input.
-fn has_client_closed(stream: &TcpStream) -> bool {
+pub(super) fn has_client_closed(stream: &TcpStream) -> bool {
     let checked = stream.ready(Interest::READABLE).now_or_never();
     checked.is_some_and(|ready| ready.is_ok_and(Ready::is_read_closed))
 }
