Keep the id of a write that may have run after its client has left

Cause: the id was free as soon as the ticket was dropped, whatever its attempts had done. The origin gets one request until the second client writes, and has it whole before the first one leaves, so it is neither a repeat of the balancer nor a write that never ran.

Change: the id of a request that may have run and must not run again stays reserved until none of its attempts is out, and then for the longest deadline, with memory from the budget for requests. Writes that never ran free their id at once.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,6 +4,7 @@
 //! contains the handlers of each wake. Each of the other modules owns one part of the engine's state.
 
 mod answer_sizes;
+mod finished_ids;
 mod fleet;
 mod gossip;
 mod handle;
@@ -28,6 +29,7 @@
 use crate::stall_monitor::run_stall_monitor;
 use decide::api::{Effect, Event, Micros, RequestId};
 use decide::policy::Router;
+use finished_ids::FinishedIds;
 use fleet::FleetMember;
 use gossip::Gossip;
 use input::Inbox;
@@ -62,6 +64,7 @@
     timers: Timers,
     startup: StartupGate,
     requests: FxHashMap<RequestId, RequestContext>,
+    finished_ids: FinishedIds,
     endpoints: EndpointSet,
     pools: ConnectionPools,
     throttles: Rc<AttemptLogThrottles>,
@@ -103,6 +106,7 @@
             timers: Timers::default(),
             startup: StartupGate::new(overrides.are_stored()),
             requests: FxHashMap::default(),
+            finished_ids: FinishedIds::new(handle.answer_memory.clone()),
             endpoints: EndpointSet::new(config.names.clone(), settings.origin_kind),
             pools: ConnectionPools::new(config.bounds),
             throttles: Rc::default(),
--- a/crates/gateway/src/engine/handle.rs
+++ b/crates/gateway/src/engine/handle.rs
@@ -101,9 +101,7 @@
         let client_id = Bytes::copy_from_slice(&incoming.call.id);
         let needed = REQUEST_BYTES + HEAD_COPIES * incoming.call.head_bytes();
         let reserved = self.answer_memory.reserve(needed);
-        if !self.open_requests.reserve_id(client_id.clone()) {
-            return None;
-        }
+        let client_id = Rc::new(self.open_requests.reserve_id(client_id)?);
         let id = RequestId(self.next_id.replace(self.next_id.get() + 1));
         let (sender, answer) = oneshot::channel();
         let awaited = Rc::new(Cell::new(true));
@@ -115,12 +113,17 @@
         } else {
             // If the engine has stopped, the sender is dropped with the input, and the ticket resolves to
             // `Answer::Failed`.
-            let slot = AnswerSlot { sender, memory: memory.clone(), awaited: awaited.clone() };
+            let slot = AnswerSlot {
+                sender,
+                memory: memory.clone(),
+                id: client_id.clone(),
+                awaited: awaited.clone(),
+            };
             let _ = self.inputs.send(Input::Submitted(id, incoming, slot));
         }
         self.open_requests.open();
         let (inputs, open_requests) = (self.inputs.clone(), self.open_requests.clone());
-        Some(Ticket { id, client_id, answer, inputs, open_requests, awaited, answered: false, memory })
+        Some(Ticket { id, _id: client_id, answer, inputs, open_requests, awaited, answered: false, memory })
     }
 
     /// Reserves memory for a command. Returns `None` if its memory budget is exhausted.
--- a/crates/gateway/src/engine/input.rs
+++ b/crates/gateway/src/engine/input.rs
@@ -1,6 +1,7 @@
 //! Inputs of the engine from other tasks: requests, results of attempts, watch events, and calls of the admin endpoint.
 
 use super::fleet::AuditedVersion;
+use super::open_requests::IdReservation;
 use crate::fleet_link::{ChangeCheckError, ChangeKind};
 use decide::api::{ClassId, Key, RequestId, TenantId};
 use gossip_transport::GossipTransport;
@@ -42,6 +43,8 @@
     pub(super) sender: oneshot::Sender<Answer>,
     /// The memory reserved for the state of the request, and for a small answer.
     pub(super) memory: Rc<MemoryPermit>,
+    /// The client's id of the request.
+    pub(super) id: Rc<IdReservation>,
     /// Whether the client still waits for the answer. Shared with the ticket and with the attempts.
     pub(super) awaited: Rc<Cell<bool>>,
 }
--- a/crates/gateway/src/engine/open_requests.rs
+++ b/crates/gateway/src/engine/open_requests.rs
@@ -4,12 +4,33 @@
 use bytes::Bytes;
 use rustc_hash::FxHashSet;
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 
 /// The minimum of the expected answer size, in bytes.
 const MIN_EXPECTED_ANSWER_BYTES: usize = 4 * 1024;
 /// Each shorter answer reduces the expected answer size by one part in this number.
 const DECAY_DIVISOR: usize = 64;
 
+/// The client's id of a request, which no other request may have meanwhile. Freed when dropped.
+#[derive(Debug)]
+pub(super) struct IdReservation {
+    client_id: Bytes,
+    open_requests: Rc<OpenRequests>,
+}
+
+impl IdReservation {
+    /// Returns the length of the id in bytes.
+    pub(super) fn id_bytes(&self) -> usize {
+        self.client_id.len()
+    }
+}
+
+impl Drop for IdReservation {
+    fn drop(&mut self) {
+        self.open_requests.client_ids.borrow_mut().remove(&self.client_id);
+    }
+}
+
 /// The open requests, and the memory that their answers may need.
 #[derive(Debug)]
 pub(super) struct OpenRequests {
@@ -37,20 +58,20 @@
         self.count.get()
     }
 
-    /// Reserves the client's id of a request. Returns `false` if an open request has the same id.
-    pub(super) fn reserve_id(&self, client_id: Bytes) -> bool {
-        self.client_ids.borrow_mut().insert(client_id)
+    /// Reserves the client's id of a request. Returns `None` while the id is reserved already.
+    pub(super) fn reserve_id(self: &Rc<Self>, client_id: Bytes) -> Option<IdReservation> {
+        let is_new = self.client_ids.borrow_mut().insert(client_id.clone());
+        is_new.then(|| IdReservation { client_id, open_requests: self.clone() })
     }
 
-    /// Counts a request as open. Its id must be reserved.
+    /// Counts a request as open.
     pub(super) fn open(&self) {
         self.count.set(self.count.get() + 1);
     }
 
-    /// Removes a request and frees its id.
-    pub(super) fn close(&self, client_id: &Bytes) {
+    /// Counts a request as answered or left.
+    pub(super) fn close(&self) {
         self.count.set(self.count.get() - 1);
-        self.client_ids.borrow_mut().remove(client_id);
     }
 
     /// Returns whether no further request can be accepted. Bounds memory: each open request may hold an answer until
--- a/crates/gateway/src/engine/phases/requests.rs
+++ b/crates/gateway/src/engine/phases/requests.rs
@@ -47,7 +47,8 @@
         let context = RequestContext {
             call: incoming.call,
             _command_memory: incoming.memory,
-            _memory: slot.memory,
+            memory: slot.memory,
+            client_id: slot.id,
             class: incoming.class,
             effect: self.effects.get(usize::from(incoming.class.0)).copied().unwrap_or(Effect::NonIdempotent),
             accepted_at,
@@ -216,6 +217,10 @@
             for key in &context.timers {
                 self.timers.cancel(key);
             }
+            if context.must_not_run_again() {
+                let until = Instant::now() + self.bounds.longest;
+                self.finished_ids.keep(context.client_id, context.memory, until);
+            }
         }
     }
 }
--- a/crates/gateway/src/engine/phases/wake.rs
+++ b/crates/gateway/src/engine/phases/wake.rs
@@ -11,7 +11,7 @@
 use decide::api::{Event, RequestId};
 use proto::discovery::WatchEvent;
 use std::future::pending;
-use tokio::time::sleep_until;
+use tokio::time::{Instant, sleep_until};
 
 /// The event that has woken the engine.
 #[expect(
@@ -63,7 +63,10 @@
             }
             Wake::FleetUpdate(update) => self.apply_fleet_update(update),
             Wake::FleetPollDue => self.poll_fleet(),
-            Wake::SweepDue => self.pools.sweep(),
+            Wake::SweepDue => {
+                self.pools.sweep();
+                self.finished_ids.sweep(Instant::now());
+            }
             Wake::OverridesPollDue => {
                 let now = self.now_ms();
                 self.overrides.tick(now);
--- a/crates/gateway/src/engine/requests.rs
+++ b/crates/gateway/src/engine/requests.rs
@@ -1,5 +1,6 @@
 //! The state of a request, which the engine keeps until the request is answered and none of its attempts is in flight.
 
+use super::open_requests::IdReservation;
 use decide::api::{ClassId, Effect};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -30,7 +31,9 @@
     /// The memory reserved for the command.
     pub(super) _command_memory: Option<Rc<MemoryPermit>>,
     /// The memory reserved for this state, and for a small answer.
-    pub(super) _memory: Rc<MemoryPermit>,
+    pub(super) memory: Rc<MemoryPermit>,
+    /// The client's id of the request.
+    pub(super) client_id: Rc<IdReservation>,
     pub(super) class: ClassId,
     pub(super) effect: Effect,
     pub(super) accepted_at: Instant,
@@ -76,6 +79,11 @@
         self.maybe_executed_attempts.retain(|attempt| attempt.number != number);
     }
 
+    /// Returns whether the request may have been executed, and must not be executed again.
+    pub(super) fn must_not_run_again(&self) -> bool {
+        self.effect != Effect::Idempotent && !self.maybe_executed_attempts.is_empty()
+    }
+
     /// Returns whether the request is answered and none of its attempts is in flight.
     pub(super) fn is_finished(&self) -> bool {
         self.answer_sender.is_none() && self.in_flight.is_empty()
--- a/crates/gateway/src/engine/ticket.rs
+++ b/crates/gateway/src/engine/ticket.rs
@@ -1,8 +1,7 @@
 //! The ticket by which a front awaits the final answer of a request.
 
 use super::input::Input;
-use super::open_requests::OpenRequests;
-use bytes::Bytes;
+use super::open_requests::{IdReservation, OpenRequests};
 use decide::api::RequestId;
 use std::cell::Cell;
 use std::future::Future;
@@ -17,7 +16,8 @@
 /// the client has left.
 pub struct Ticket {
     pub(super) id: RequestId,
-    pub(super) client_id: Bytes,
+    /// The client's id of the request. Shared with the engine, which may keep it reserved for longer.
+    pub(super) _id: Rc<IdReservation>,
     pub(super) answer: oneshot::Receiver<Answer>,
     pub(super) inputs: mpsc::UnboundedSender<Input>,
     pub(super) open_requests: Rc<OpenRequests>,
@@ -56,7 +56,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.open_requests.close(&self.client_id);
+        self.open_requests.close();
         self.awaited.set(false);
         if !self.answered {
             let _ = self.inputs.send(Input::ClientLeft(self.id));
--- a/crates/spindlebeam/tests/platform/client.rs
+++ b/crates/spindlebeam/tests/platform/client.rs
@@ -68,6 +68,10 @@
         let mut stream = self.0.get_ref().try_clone().unwrap();
         thread::spawn(move || while stream.write_all(&bytes).is_ok() {});
     }
+    /// Resets the connection when it is closed.
+    pub fn reset_on_close(&self) {
+        socket2::SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
     /// Writes the bytes on a separate thread. Errors are ignored: the connection may be closed.
     pub fn write_on_thread(&self, bytes: Vec<u8>) {
         let mut stream = self.0.get_ref().try_clone().unwrap();
