List only the latest process at an address

Cause: an id stayed listed until its end was told, beside the id that had taken its address.

Change: of two ids at one address the one that started later is listed, the other one is gone. With equal starts nothing is known, and both stay.

--- a/crates/upstream/src/endpoints.rs
+++ b/crates/upstream/src/endpoints.rs
@@ -6,6 +6,7 @@
 use proto::discovery::{EndpointList, EndpointRecord, Phase};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
+use std::cmp::Ordering;
 use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -65,6 +66,19 @@
     Unchanged,
 }
 
+/// Returns the entry of an endpoint that is gone.
+fn gone_entry(id: EndpointId) -> EndpointEntry {
+    EndpointEntry {
+        id,
+        state: EndpointState::Gone,
+        kind: u16::MAX,
+        weight: 1.0,
+        cell: CellId(0),
+        zone: ZoneId(0),
+        started_at: 0,
+    }
+}
+
 /// Returns the name of a state in log lines.
 fn state_name(state: EndpointState) -> &'static str {
     match state {
@@ -124,18 +138,29 @@
     pub fn apply(
         &mut self, list: &EndpointList, cached: bool,
     ) -> (ListKind, Vec<EndpointEntry>, Vec<EndpointId>) {
-        let entries: Vec<_> = list.members.iter().map(|member| self.to_entry(member)).collect();
+        let mut entries: Vec<_> = list.members.iter().map(|member| self.to_entry(member)).collect();
         let mut idle_to_close = Vec::new();
+        let replaced = self.resolve_addresses(list, &mut entries);
         if list.complete {
             self.remove_unlisted(&entries, &mut idle_to_close);
         }
         let mut changes = Vec::new();
+        for (id, name) in &replaced {
+            if self.remove(*id, &mut idle_to_close) == PresenceChange::Changed {
+                changes.push((name, EndpointState::Gone));
+            }
+        }
         for (member, entry) in list.members.iter().zip(&entries) {
             if self.apply_entry(member, entry, &mut idle_to_close) == PresenceChange::Changed {
                 changes.push((&member.id, entry.state));
             }
         }
         log_changes(&changes);
+        if list.complete {
+            entries.retain(|entry| entry.state != EndpointState::Gone);
+        } else {
+            entries.extend(replaced.iter().map(|(id, _)| gone_entry(*id)));
+        }
         let kind = match (cached, list.complete) {
             (true, _) => ListKind::Cached,
             (false, true) => ListKind::Full,
@@ -144,6 +169,41 @@
         (kind, entries, idle_to_close)
     }
 
+    /// Finds the endpoints whose address a process that started later has taken: an address has one process at a time, so
+    /// the former process is gone, whether or not its end has been told. Marks such entries of the list as gone, and
+    /// returns the ids and names of such endpoints that are known.
+    fn resolve_addresses(
+        &self, list: &EndpointList, entries: &mut [EndpointEntry],
+    ) -> Vec<(EndpointId, String)> {
+        let mut latest: FxHashMap<SocketAddr, (EndpointId, u64)> = FxHashMap::default();
+        let listed =
+            list.members.iter().zip(&*entries).filter(|(_, entry)| entry.state != EndpointState::Gone);
+        for (member, entry) in listed {
+            let claim = latest.entry(member.host_port).or_insert((entry.id, member.up_since_ms));
+            if member.up_since_ms > claim.1 {
+                *claim = (entry.id, member.up_since_ms);
+            }
+        }
+        let mut replaced = Vec::new();
+        let restated: FxHashSet<_> = entries.iter().map(|entry| entry.id).collect();
+        // An endpoint that a complete list does not contain is removed anyway.
+        let kept = self.endpoints.values().filter(|it| !list.complete && !restated.contains(&it.id));
+        for endpoint in kept {
+            let Some(claim) = latest.get_mut(&endpoint.addr) else { continue };
+            match endpoint.up_since_ms.cmp(&claim.1) {
+                Ordering::Less => replaced.push((endpoint.id, endpoint.name.clone())),
+                Ordering::Greater => *claim = (endpoint.id, endpoint.up_since_ms),
+                Ordering::Equal => {}
+            }
+        }
+        for (member, entry) in list.members.iter().zip(entries) {
+            if latest.get(&member.host_port).is_some_and(|claim| claim.1 > member.up_since_ms) {
+                entry.state = EndpointState::Gone;
+            }
+        }
+        replaced
+    }
+
     /// Removes the endpoints that a complete list does not contain.
     fn remove_unlisted(&mut self, entries: &[EndpointEntry], idle_to_close: &mut Vec<EndpointId>) {
         let listed: FxHashSet<_> = entries.iter().map(|entry| entry.id).collect();
