Bound the buffer of an admin call, whose head could take 400 KB

Cause: hyper's default buffer holds some 400 KB of a head of very many short fields, for each of 16 connections, outside every budget.

Change: 16 KiB.

Measured: 16 callers with heads of 400,000 bytes take the process from 9,352 to 15,904 KB before, and less than 1 MB more now (client_memory.rs long_heads_of_admin_calls_use_little_memory, seen to fail). operators.rs passes.

--- a/crates/front/src/operator/connection.rs
+++ b/crates/front/src/operator/connection.rs
@@ -23,6 +23,8 @@
 const CALL_READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a call may take until its response is written, after the connection opens.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest buffer for the head of a call, or for a part of its body.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
 /// How long input after a call is read and discarded: closing with unread bytes would reset the connection and destroy
 /// the response.
 const LINGER_PERIOD: Duration = Duration::from_millis(500);
@@ -67,6 +69,7 @@
     let mut connection = http1::Builder::new()
         .keep_alive(false)
         .half_close(true)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let answered = async {
         tokio::select! {
--- a/crates/spindlebeam/tests/client_memory.rs
+++ b/crates/spindlebeam/tests/client_memory.rs
@@ -3,6 +3,7 @@
 mod platform;
 use platform::*;
 use rstest::rstest;
+use std::io::{Read, Write};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -117,3 +118,35 @@
     assert!(peak_kb < MEMORY_LIMIT_MB * 1024, "{peak_kb} KB with {} clients", clients.len());
     assert!(answers.iter().all(|answer| answer == "v" || answer.starts_with("-BUSY")), "{answers:?}");
 }
+
+/// Guards against calls whose heads take memory beyond all budgets: a head could have some hundred kilobytes of very many
+/// short fields.
+#[test]
+fn long_heads_of_admin_calls_use_little_memory() {
+    const CALLERS: usize = 16;
+    const HEAD_BYTES: usize = 400_000;
+    const ALLOWED_KB: u64 = 1024;
+    let platform = Platform::with_admin_endpoint(1);
+    let address = platform.balancer.admin_addr.unwrap();
+    assert_eq!(call(address, "GET", "/ready", "").0, 200);
+    let before_kb = platform.balancer.resident_kb();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            thread::spawn(move || {
+                let mut stream = std::net::TcpStream::connect(address).unwrap();
+                let head = format!("GET /ready HTTP/1.1\r\nx: {}", "a, ".repeat(HEAD_BYTES / 3));
+                let _ = stream.write_all(head.as_bytes()); // may be reset
+                let mut response = String::new();
+                let _ = stream.read_to_string(&mut response);
+                response
+            })
+        })
+        .collect();
+    for caller in callers {
+        let response = caller.join().unwrap();
+        assert!(response.is_empty() || response.starts_with("HTTP/1.1 4"), "{response}");
+    }
+    let peak_kb = platform.balancer.resident_kb();
+    assert!(peak_kb < before_kb + ALLOWED_KB, "{before_kb} KB before, {peak_kb} KB at most");
+    assert_eq!(call(address, "GET", "/ready", "").0, 200);
+}
