--- a/crates/upstream/src/connection/attempt.rs
+++ b/crates/upstream/src/connection/attempt.rs
@@ -207,7 +207,7 @@
             }
             ResponseError::OutOfMemory => {
                 if let Some(more) = self.throttles.no_memory.admit_line() {
-                    log::warn!("upstream: endpoint {name}: no memory for a response of unknown length{more}");
+                    log::warn!("upstream: endpoint {name}: no memory for a response{more}");
                 }
             }
         }
--- a/crates/upstream/src/connection/response.rs
+++ b/crates/upstream/src/connection/response.rs
@@ -13,7 +13,7 @@
     Reset,
     /// The response is malformed.
     Malformed(ProtoError),
-    /// There is no memory to buffer the response.
+    /// There was no memory for the response in time.
     OutOfMemory,
 }
 
